--- /dev/null
+++ b/cmd/glentiller/main.go
@@ -0,0 +1,104 @@
+// Command glentiller is a cluster scheduler's controller. The README tells how
+// to run it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	_ "github.com/glentiller/glentiller/internal/cgo"
+	"github.com/glentiller/glentiller/internal/config"
+	"github.com/glentiller/glentiller/internal/node"
+)
+
+// version is set when a release is built.
+var version = "dev"
+
+type files struct {
+	Config   string `required:"" placeholder:"FILE" help:"The platform's settings (TOML)."`
+	Operator string `placeholder:"FILE" help:"The operators' settings (XML). Without it the defaults hold."`
+}
+
+func (f *files) read() (*config.Platform, *config.Operator, error) {
+	p, err := config.ReadPlatform(f.Config)
+	if err != nil {
+		return nil, nil, err
+	}
+	o := config.Defaults()
+	if f.Operator != "" {
+		if o, err = config.ReadOperator(f.Operator); err != nil {
+			return nil, nil, err
+		}
+	}
+	return p, o, nil
+}
+
+type serveCmd struct{ files }
+
+// Run serves until the process is told to end.
+func (c *serveCmd) Run() error {
+	p, o, err := c.read()
+	if err != nil {
+		return err
+	}
+	level := slog.LevelInfo
+	if v := os.Getenv("LOG_LEVEL"); v != "" {
+		if err := level.UnmarshalText([]byte(v)); err != nil {
+			return fmt.Errorf("LOG_LEVEL: %w", err)
+		}
+	}
+	// A controller has a fraction of one core: more threads would only wait for
+	// each other.
+	runtime.GOMAXPROCS(1)
+	if mb := p.Deployment.Limits.MemMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return node.New(p, o, log).Run(ctx)
+}
+
+// memoryShare is the part of the machine's memory that the Go heap may fill
+// before it is collected harder; the rest is for stacks, code and buffers.
+const memoryShare = 0.6
+
+type checkCmd struct{ files }
+
+// Run checks the settings and says so.
+func (c *checkCmd) Run() error {
+	if _, _, err := c.read(); err != nil {
+		return err
+	}
+	_, err := fmt.Println("the settings are good")
+	return err
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	_, err := fmt.Println("glentiller", version)
+	return err
+}
+
+func main() {
+	var cli struct {
+		Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller."`
+		Check   checkCmd   `cmd:"" help:"Check the settings."`
+		Version versionCmd `cmd:"" help:"Print the version."`
+	}
+	ctx := kong.Parse(&cli, kong.Name("glentiller"), kong.Description("A cluster scheduler's controller."), kong.UsageOnError())
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "glentiller:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,102 @@
+// Package cloud is the client of the cloud that rents out machines.
+package cloud
+
+import (
+	"context"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/rpc"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// Client talks to the cloud within a budget of requests.
+type Client struct {
+	c       *rpc.Client
+	budget  *rate.Limiter
+	timeout time.Duration
+}
+
+// New makes a client. The rate is this controller's share.
+func New(addr string, perSecond float64, timeout time.Duration) *Client {
+	return &Client{c: rpc.New(addr, 8), budget: rate.NewLimiter(rate.Limit(perSecond), 1), timeout: timeout}
+}
+
+// SetRate sets this controller's share of the published limit.
+func (c *Client) SetRate(perSecond float64) {
+	c.budget.SetLimit(rate.Limit(perSecond))
+	c.budget.SetBurst(max(1, int(perSecond)))
+}
+
+// Wait waits until a request is within the budget. Rent and Return do not wait
+// themselves: their caller checks its right to act in between.
+func (c *Client) Wait(ctx context.Context) error { return c.budget.Wait(ctx) }
+
+func (c *Client) get(ctx context.Context, uri string) ([]byte, error) {
+	if err := c.Wait(ctx); err != nil {
+		return nil, err
+	}
+	return c.c.Call(fasthttp.MethodGet, uri, nil, c.timeout)
+}
+
+// Catalog returns the machine types.
+func (c *Client) Catalog(ctx context.Context) ([]model.MachineType, error) {
+	out, err := c.get(ctx, "/catalog")
+	if err != nil {
+		return nil, err
+	}
+	return wire.DecodeCatalog(out)
+}
+
+// Rent asks for machines. full tells that the cloud has answered that it has
+// none of this kind. Any error leaves the outcome open.
+func (c *Client) Rent(r model.Rental) (names []string, full bool, err error) {
+	out, err := c.c.Call(fasthttp.MethodPost, "/rentals", wire.AppendRent(nil, r), c.timeout)
+	if err != nil {
+		switch rpc.Status(err) {
+		case fasthttp.StatusBadRequest:
+			return nil, true, nil // it will never be taken
+		case fasthttp.StatusServiceUnavailable:
+			return nil, strings.Contains(string(err.(*rpc.StatusError).Body), "capacity"), err
+		}
+		return nil, false, err
+	}
+	names, err = wire.DecodeMachines(out)
+	return names, false, err
+}
+
+// Return gives machines back. Without an error they are gone.
+func (c *Client) Return(names []string) error {
+	_, err := c.c.Call(fasthttp.MethodPost, "/rentals/return", wire.AppendMachines(nil, names), c.timeout)
+	return err
+}
+
+// List returns all rented machines, as of some time ago.
+func (c *Client) List(ctx context.Context) ([]model.Listed, error) {
+	var all []model.Listed
+	after := ""
+	for {
+		uri := "/rentals?page=500"
+		if after != "" {
+			uri += "&after=" + url.QueryEscape(after)
+		}
+		out, err := c.get(ctx, uri)
+		if err != nil {
+			return nil, err
+		}
+		page, more, err := wire.DecodeList(out)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if !more || len(page) == 0 {
+			return all, nil
+		}
+		after = page[len(page)-1].Machine
+	}
+}
--- /dev/null
+++ b/internal/config/core.go
@@ -0,0 +1,45 @@
+package config
+
+import (
+	"time"
+
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/fleet"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+// valueShare is how much of a value's size limit a chunk of the finished-task
+// record may take: two digits for eight tasks.
+const valueShare = 0.5
+
+// Control puts together what the core of a leader works by.
+func Control(p *Platform, o *Operator) control.Settings {
+	d := &p.Deployment
+	silent := o.Workers.SilentAfter.D()
+	if silent == 0 {
+		// Three reports missed, and time for one try at another controller.
+		silent = Seconds(3*d.Workers.Report) + time.Second
+	}
+	chunk := int(d.State.ValueKB*1024*valueShare) / 2 * 8
+	return control.Settings{
+		Member: p.Member, Teams: p.Teams(), Zones: d.Zones,
+		Report: Seconds(d.Workers.Report), Lease: Seconds(d.Workers.Lease), GangWait: Seconds(d.Workers.GangWait),
+		GangPeer: Seconds(d.Workers.GangPeer), Cancel: Seconds(d.Workers.Cancel), ListLag: Seconds(d.Cloud.ListLag),
+		Sched: sched.Settings{IdleShare: o.Scheduler.IdlePower, Overtake: o.Scheduler.Overtake.D(), MaxPreempt: o.Scheduler.PreemptMost,
+			MinRun: o.Scheduler.MinRun.D(), PreemptWithin: o.Scheduler.PreemptGuarantees},
+		Fleet: fleet.Settings{KeepIdle: o.Fleet.KeepIdle.D(), KeepBoots: o.Fleet.KeepBoots, BootFactor: o.Fleet.BootFactor,
+			BootExtra: o.Fleet.BootExtra.D(), Refused: o.Fleet.Refused.D(), MaxRent: 50},
+		LeaseMargin: o.Workers.LeaseMargin.D(), Pass: o.Scheduler.Pass.D(), Flush: o.Scheduler.Flush.D(),
+		ListEvery: o.Fleet.List.D(), CatalogEvery: o.Fleet.Catalog.D(),
+		SilentAfter: silent, SilentShare: o.Workers.SilentShare,
+		Backoff: o.Scheduler.Backoff.D(), BackoffMost: o.Scheduler.BackoffMost.D(), SickErrors: o.Workers.SickErrors,
+		DirectHold: o.Workers.DirectHold.D(), TxnOps: d.State.TxnOps, ChunkTasks: max(chunk/64*64, 64),
+	}
+}
+
+// Election puts together what the election works by.
+func Election(p *Platform, o *Operator) election.Settings {
+	return election.Settings{Member: p.Member, Life: o.Leadership.Lease.D(), Margin: o.Leadership.Margin.D(),
+		Look: o.Leadership.Look.D(), Retry: o.Leadership.Retry.D()}
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,204 @@
+package config
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+)
+
+// Duration is a length of time as operators write it, such as 1.5s or 2m.
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText writes a duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// D returns the duration as Go's own type.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// strict collects what a section holds beyond its settings.
+type strict struct {
+	Attrs []xml.Attr `xml:",any,attr"`
+	Any   []stray    `xml:",any"`
+}
+
+type stray struct{ XMLName xml.Name }
+
+func (s *strict) check(section string) error {
+	for _, a := range s.Attrs {
+		return fmt.Errorf("<%s>: there is no attribute %q", section, a.Name.Local)
+	}
+	for _, e := range s.Any {
+		return fmt.Errorf("<%s>: there is no setting <%s>", section, e.XMLName.Local)
+	}
+	return nil
+}
+
+// Operator is what operators may set. deploy/operator.xml explains every
+// setting and holds the defaults.
+type Operator struct {
+	XMLName    xml.Name   `xml:"glentiller"`
+	Leadership Leadership `xml:"leadership"`
+	Scheduler  Scheduler  `xml:"scheduler"`
+	Fleet      Fleet      `xml:"fleet"`
+	Workers    Workers    `xml:"workers"`
+	Front      Front      `xml:"front"`
+	strict
+}
+
+// Leadership is about who leads.
+type Leadership struct {
+	Lease  Duration `xml:"lease"`
+	Margin Duration `xml:"margin"`
+	Look   Duration `xml:"look"`
+	Retry  Duration `xml:"retry"`
+	strict
+}
+
+// Scheduler is about what runs where.
+type Scheduler struct {
+	IdlePower         float64  `xml:"idle-power"`
+	Overtake          Duration `xml:"overtake"`
+	Pass              Duration `xml:"pass"`
+	Flush             Duration `xml:"flush"`
+	PreemptGuarantees bool     `xml:"preempt-for-guarantees"`
+	PreemptMost       int      `xml:"preempt-most"`
+	MinRun            Duration `xml:"min-run"`
+	Backoff           Duration `xml:"backoff"`
+	BackoffMost       Duration `xml:"backoff-most"`
+	strict
+}
+
+// Fleet is about which machines are rented.
+type Fleet struct {
+	KeepIdle   Duration `xml:"keep-idle"`
+	KeepBoots  float64  `xml:"keep-boots"`
+	BootFactor float64  `xml:"boot-factor"`
+	BootExtra  Duration `xml:"boot-extra"`
+	Refused    Duration `xml:"refused"`
+	List       Duration `xml:"list"`
+	Catalog    Duration `xml:"catalog"`
+	strict
+}
+
+// Workers is about dealings with workers.
+type Workers struct {
+	LeaseMargin Duration `xml:"lease-margin"`
+	SilentAfter Duration `xml:"silent-after"` // 0: from the report interval
+	SilentShare float64  `xml:"silent-share"`
+	SickErrors  int      `xml:"sick-errors"`
+	DirectWait  Duration `xml:"direct-wait"`
+	DirectHold  Duration `xml:"direct-hold"`
+	strict
+}
+
+// Front is about answering users.
+type Front struct {
+	StateTimeout Duration `xml:"state-timeout"`
+	RetryAfter   Duration `xml:"retry-after"`
+	KeepEnded    int      `xml:"keep-ended"`
+	strict
+}
+
+// Defaults are the settings of operators who set nothing.
+func Defaults() *Operator {
+	s := func(v float64) Duration { return Duration(v * float64(time.Second)) }
+	return &Operator{
+		Leadership: Leadership{Lease: s(4), Margin: s(0.2), Look: s(2), Retry: s(0.25)},
+		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16,
+			MinRun: s(30), Backoff: s(4), BackoffMost: s(60)},
+		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), List: s(5), Catalog: s(60)},
+		Workers: Workers{LeaseMargin: s(0.5), SilentShare: 0.34, SickErrors: 2, DirectWait: s(1.5),
+			DirectHold: s(3)},
+		Front: Front{StateTimeout: s(1.2), RetryAfter: s(1), KeepEnded: 50_000},
+	}
+}
+
+// ReadOperator reads and checks the operators' file. Settings that it leaves
+// out keep their defaults; anything that is not a setting is an error.
+func ReadOperator(path string) (*Operator, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	o, err := parseOperator(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+func parseOperator(b []byte) (*Operator, error) {
+	o := Defaults()
+	d := xml.NewDecoder(bytes.NewReader(b))
+	if err := d.Decode(o); err != nil {
+		return nil, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("something stands behind </glentiller>")
+	}
+	for _, s := range []struct {
+		name string
+		s    *strict
+	}{{"glentiller", &o.strict}, {"leadership", &o.Leadership.strict}, {"scheduler", &o.Scheduler.strict},
+		{"fleet", &o.Fleet.strict}, {"workers", &o.Workers.strict}, {"front", &o.Front.strict}} {
+		if err := s.s.check(s.name); err != nil {
+			return nil, err
+		}
+	}
+	return o, o.check()
+}
+
+func (o *Operator) check() error {
+	var errs []error
+	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	span := func(name string, v Duration, least, most time.Duration) {
+		if v.D() < least || v.D() > most {
+			bad("%s: %v is not between %v and %v", name, v.D(), least, most)
+		}
+	}
+	number := func(name string, v, least, most float64) {
+		if !(v >= least && v <= most) {
+			bad("%s: %v is not between %v and %v", name, v, least, most)
+		}
+	}
+	span("leadership/lease", o.Leadership.Lease, time.Second, 10*time.Minute)
+	span("leadership/margin", o.Leadership.Margin, 50*time.Millisecond, o.Leadership.Lease.D()/2)
+	span("leadership/look", o.Leadership.Look, 100*time.Millisecond, time.Minute)
+	span("leadership/retry", o.Leadership.Retry, 20*time.Millisecond, 10*time.Second)
+	number("scheduler/idle-power", o.Scheduler.IdlePower, 0, 1)
+	span("scheduler/overtake", o.Scheduler.Overtake, 0, 24*time.Hour)
+	span("scheduler/pass", o.Scheduler.Pass, time.Millisecond, 10*time.Second)
+	span("scheduler/flush", o.Scheduler.Flush, 10*time.Millisecond, 2*time.Second)
+	number("scheduler/preempt-most", float64(o.Scheduler.PreemptMost), 0, 10_000)
+	span("scheduler/min-run", o.Scheduler.MinRun, 0, time.Hour)
+	span("scheduler/backoff", o.Scheduler.Backoff, 100*time.Millisecond, time.Hour)
+	span("scheduler/backoff-most", o.Scheduler.BackoffMost, o.Scheduler.Backoff.D(), 24*time.Hour)
+	span("fleet/keep-idle", o.Fleet.KeepIdle, 0, 24*time.Hour)
+	number("fleet/keep-boots", o.Fleet.KeepBoots, 0, 100)
+	number("fleet/boot-factor", o.Fleet.BootFactor, 1, 100)
+	span("fleet/boot-extra", o.Fleet.BootExtra, 0, time.Hour)
+	span("fleet/refused", o.Fleet.Refused, time.Second, time.Hour)
+	span("fleet/list", o.Fleet.List, time.Second, time.Hour)
+	span("fleet/catalog", o.Fleet.Catalog, time.Second, 24*time.Hour)
+	span("workers/lease-margin", o.Workers.LeaseMargin, 100*time.Millisecond, time.Minute)
+	span("workers/silent-after", o.Workers.SilentAfter, 0, time.Hour)
+	number("workers/silent-share", o.Workers.SilentShare, 0, 1)
+	number("workers/sick-errors", float64(o.Workers.SickErrors), 1, 1000)
+	span("workers/direct-wait", o.Workers.DirectWait, 100*time.Millisecond, time.Minute)
+	span("workers/direct-hold", o.Workers.DirectHold, 0, time.Minute)
+	span("front/state-timeout", o.Front.StateTimeout, 100*time.Millisecond, 4*time.Second)
+	span("front/retry-after", o.Front.RetryAfter, time.Second, 30*time.Second)
+	number("front/keep-ended", float64(o.Front.KeepEnded), 0, 10_000_000)
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,422 @@
+package control
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/fleet"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+// Settings are what a core works by; the platform and the operators set them.
+type Settings struct {
+	Member string
+	Teams  []model.Team
+	Zones  []string
+
+	Report, Lease, GangWait, GangPeer, Cancel time.Duration // of the workers
+	ListLag                                   time.Duration
+
+	Sched sched.Settings
+	Fleet fleet.Settings
+
+	LeaseMargin  time.Duration // beyond a worker's lease before it counts as run out
+	Pass         time.Duration // least time between scheduling passes
+	Flush        time.Duration // between batches of finished tasks
+	ListEvery    time.Duration
+	CatalogEvery time.Duration
+	SilentAfter  time.Duration // a machine that is silent this long is given back
+	SilentShare  float64       // unless more than this share of the machines is silent
+	Backoff      time.Duration // after a failed task, doubling
+	BackoffMost  time.Duration
+	SickErrors   int // errors of several jobs that condemn a machine
+	DirectHold   time.Duration
+	TxnOps       int
+	ChunkTasks   int // tasks in a chunk of the finished-task record
+}
+
+// drift bounds how far the steady clocks of two machines part.
+const drift = 0.001
+
+// Snapshot is what the state service held when the leader took over.
+type Snapshot struct {
+	Revision uint64
+	Jobs     []JobAdded
+	Done     map[string]map[int][]byte // finished-task chunks by job
+	Machines []model.Listed
+}
+
+// Core is the picture and the decisions of one leader, for one token. It is
+// thrown away when the leadership ends.
+type Core struct {
+	set   Settings
+	log   *slog.Logger
+	token uint64
+	start time.Time
+	rev   uint64 // jobs with a later version were accepted after the takeover
+
+	tries uint64
+	hires uint64
+
+	types    []model.MachineType
+	teams    map[string]*model.Team
+	jobs     map[string]*model.Job
+	order    []*model.Job // by acceptance, ended ones removed lazily
+	machines map[string]*model.Machine
+	gone     map[string]time.Time // machines that the cloud has taken back
+	used     map[string]model.Resources
+	unsure   int // machines that may hold tasks that nobody here knows
+
+	gpuNeed map[model.Resources]time.Time // GPU tasks seen, so that machines keep room for them
+	refused map[fleet.Offer]time.Time
+	renting map[string]model.Rental
+	rentAt  map[string]time.Time
+
+	saves     []Save
+	saving    bool
+	saveAt    time.Time
+	dirtyJobs map[string]bool
+	flushAt   time.Time
+
+	dirty     bool // the picture has changed since the last pass
+	passAt    time.Time
+	lastPass  time.Time
+	listAt    time.Time
+	catalogAt time.Time
+	sweepAt   time.Time
+	listing   bool
+	catalogs  bool
+	resumeAt  time.Time // no machine counts as silent before this
+
+	news map[*model.Machine]bool // machines with commands to send straight away
+
+	out []Effect
+}
+
+// New makes the core of a leader that has just taken over.
+func New(now time.Time, set Settings, token uint64, snap *Snapshot, types []model.MachineType, log *slog.Logger) *Core {
+	c := &Core{set: set, log: log, token: token, start: now, rev: snap.Revision,
+		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, machines: map[string]*model.Machine{},
+		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]time.Time{},
+		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
+		dirtyJobs: map[string]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
+		resumeAt: now.Add(set.SilentAfter)}
+	for i := range set.Teams {
+		c.teams[set.Teams[i].Name] = &set.Teams[i]
+	}
+	if len(types) > 0 {
+		c.catalogAt = now.Add(set.CatalogEvery)
+	}
+	for _, j := range snap.Jobs {
+		c.addJob(now, j)
+	}
+	for id, chunks := range snap.Done {
+		j := c.jobs[id]
+		if j == nil {
+			for chunk := range chunks {
+				c.saves = append(c.saves, Save{Kind: DropTasks, Job: id, Chunk: chunk})
+			}
+			continue
+		}
+		for chunk, bits := range chunks {
+			j.Load(chunk*set.ChunkTasks, bits)
+			j.Durable(chunk*set.ChunkTasks, bits)
+			j.Recorded[chunk] = true
+		}
+		c.checkEnd(j)
+	}
+	for _, l := range snap.Machines {
+		m := c.newMachine(now, l, model.Unsettled)
+		m.Registered, m.Unsure = true, true
+		c.unsure++
+	}
+	c.log.Info("takeover", "token", token, "jobs", len(c.jobs), "machines", len(c.machines))
+	return c
+}
+
+// newMachine enters a machine into the picture.
+func (c *Core) newMachine(now time.Time, l model.Listed, s model.MachineState) *model.Machine {
+	m := &model.Machine{Name: l.Machine, Addr: l.Addr, Zone: l.Zone, Spot: l.Spot, Type: c.typeOf(l.Type),
+		Rows: map[model.AttemptKey]*model.Attempt{}, Images: map[string]time.Time{}, Errors: map[string]int{},
+		EmptySince: now, LastReport: now, Deadline: c.leaseEnd(now)}
+	m.Set(now, s, "")
+	c.machines[m.Name] = m
+	return m
+}
+
+// typeOf finds a machine type. A type that the catalogue does not (yet) list
+// has no room: nothing is placed on it.
+func (c *Core) typeOf(name string) *model.MachineType {
+	for i := range c.types {
+		if c.types[i].Name == name {
+			return &c.types[i]
+		}
+	}
+	return &model.MachineType{Name: name, Cap: model.Resources{CPU: 1e-9}}
+}
+
+// leaseEnd is when the lease of a worker whose last answered report came at t
+// has certainly run out: the worker counts from the sending, which was earlier.
+func (c *Core) leaseEnd(t time.Time) time.Time {
+	return t.Add(c.set.Lease + time.Duration(float64(c.set.Lease)*drift) + c.set.LeaseMargin)
+}
+
+// Step takes an event and gives the effects.
+func (c *Core) Step(now time.Time, ev Event) []Effect {
+	c.out = c.out[:0]
+	switch ev := ev.(type) {
+	case Tick:
+	case JobAdded:
+		c.addJob(now, ev)
+	case JobEnded:
+		c.endJob(now, ev.ID)
+	case ReportIn:
+		c.reportIn(now, ev.Report)
+	case CommandBack:
+		c.commandBack(now, ev)
+	case CatalogIn:
+		c.catalogIn(now, ev)
+	case ListIn:
+		c.listIn(now, ev)
+	case RentBack:
+		c.rentBack(now, ev)
+	case ReturnBack:
+		c.returnBack(now, ev)
+	case SaveBack:
+		c.saveBack(now, ev)
+	}
+	c.work(now)
+	return c.out
+}
+
+// work does what is due.
+func (c *Core) work(now time.Time) {
+	if !now.Before(c.sweepAt) {
+		c.sweep(now)
+		c.sweepAt = now.Add(250 * time.Millisecond)
+	}
+	if c.dirty && !now.Before(c.lastPass.Add(c.set.Pass)) {
+		c.pass(now)
+	}
+	if len(c.dirtyJobs) > 0 && !now.Before(c.flushAt) {
+		c.flush(now)
+	}
+	c.commit(now)
+	if !c.listing && !now.Before(c.listAt) {
+		c.listing = true
+		c.emit(List{})
+	}
+	if !c.catalogs && !now.Before(c.catalogAt) {
+		c.catalogs = true
+		c.emit(Catalog{})
+	}
+	for m := range c.news {
+		c.sendDirect(now, m)
+	}
+}
+
+// Wake is when the next Tick is due.
+func (c *Core) Wake() time.Time {
+	t := c.sweepAt
+	if c.dirty {
+		if p := c.lastPass.Add(c.set.Pass); p.Before(t) {
+			t = p
+		}
+	}
+	if len(c.dirtyJobs) > 0 && c.flushAt.Before(t) {
+		t = c.flushAt
+	}
+	return t
+}
+
+// Resume tells the core that it may act again after a time without the right
+// to: machines could not report, so their silence says nothing.
+func (c *Core) Resume(now time.Time) { c.resumeAt = now.Add(c.set.SilentAfter) }
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+// Progress tells the state of an active job for display.
+func (c *Core) Progress(id string) (done, running int, ok bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return 0, 0, false
+	}
+	return j.Count(model.TaskDone), j.Running(), true
+}
+
+// EachProgress calls f for each active job.
+func (c *Core) EachProgress(f func(id string, done, running int)) {
+	for id, j := range c.jobs {
+		f(id, j.Count(model.TaskDone), j.Running())
+	}
+}
+
+// --- jobs
+
+func (c *Core) addJob(now time.Time, ev JobAdded) {
+	if c.jobs[ev.Spec.ID] != nil {
+		return
+	}
+	j := model.NewJob(ev.Spec, ev.At, ev.Version)
+	c.jobs[ev.Spec.ID] = j
+	c.order = append(c.order, j)
+	if ev.Spec.Need.GPU > 0 {
+		c.gpuNeed[ev.Spec.Need] = now
+	}
+	c.dirty = true
+	c.log.Info("job", "id", ev.Spec.ID, "class", ev.Spec.Class, "team", ev.Spec.Team, "shape", ev.Spec.Shape.String(),
+		"rank", ev.Spec.Rank.String(), "tasks", ev.Spec.Tasks)
+}
+
+// endJob takes a job that is done or cancelled out of the picture. Attempts of
+// it stay on their machines' accounts until they are gone.
+func (c *Core) endJob(now time.Time, id string) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	c.log.Info("job ended", "id", id, "done", j.Count(model.TaskDone), "live", len(j.Live))
+	j.Set(model.JobEnded)
+	delete(c.jobs, id)
+	delete(c.dirtyJobs, id)
+	for _, a := range j.Live {
+		c.stop(now, a, 0)
+	}
+	for k := range j.Recorded {
+		c.saves = append(c.saves, Save{Kind: DropTasks, Job: id, Chunk: k})
+	}
+	for i, o := range c.order {
+		if o == j {
+			c.order = append(c.order[:i], c.order[i+1:]...)
+			break
+		}
+	}
+	c.dirty = true
+}
+
+// taskDone notes that a task has completed.
+func (c *Core) taskDone(now time.Time, j *model.Job, i int) {
+	if j.Task(i) == model.TaskDone || j.Spec.Shape == model.Service {
+		return
+	}
+	j.SetTask(i, model.TaskDone)
+	j.Good, j.Errors = true, 0
+	j.Dirty[i/c.set.ChunkTasks] = true
+	if len(c.dirtyJobs) == 0 {
+		c.flushAt = now.Add(c.set.Flush)
+	}
+	c.dirtyJobs[j.Spec.ID] = true
+	c.checkEnd(j)
+}
+
+// checkEnd ends a job whose tasks are all done. The record of the end stands
+// for the finished tasks' records too, so none of those is needed any more.
+func (c *Core) checkEnd(j *model.Job) {
+	if j.State == model.JobActive && j.Unfinished() == 0 && j.Set(model.JobEnding) {
+		c.saves = append(c.saves, Save{Kind: EndJob, Job: j.Spec.ID, Version: j.Version, Tasks: j.Spec.Tasks})
+		delete(c.dirtyJobs, j.Spec.ID)
+	}
+}
+
+// flush queues the changed chunks of finished-task records.
+func (c *Core) flush(now time.Time) {
+	for id := range c.dirtyJobs {
+		j := c.jobs[id]
+		delete(c.dirtyJobs, id)
+		if j == nil || j.State != model.JobActive {
+			continue
+		}
+		for k := range j.Dirty {
+			from := k * c.set.ChunkTasks / 8
+			to := min(from+c.set.ChunkTasks/8, len(j.Bits))
+			c.saves = append(c.saves, Save{Kind: SaveTasks, Job: id, Chunk: k, Bits: append([]byte(nil), j.Bits[from:to]...)})
+			delete(j.Dirty, k)
+			j.Recorded[k] = true
+		}
+	}
+	c.flushAt = now.Add(c.set.Flush)
+}
+
+// commit sends the next batch of records, one transaction at a time.
+func (c *Core) commit(now time.Time) {
+	if c.saving || len(c.saves) == 0 || now.Before(c.saveAt) {
+		return
+	}
+	// The end of a job has a condition of its own, so it goes alone: its failure
+	// must not keep the others back. It and new machines go before the rest.
+	first := 0
+	for i, s := range c.saves {
+		if s.Kind == EndJob || s.Kind == SaveMachine {
+			first = i
+			break
+		}
+	}
+	var batch, rest []Save
+	if c.saves[first].Kind == EndJob {
+		batch = append(batch, c.saves[first])
+		rest = append(append(rest, c.saves[:first]...), c.saves[first+1:]...)
+	} else {
+		room := c.set.TxnOps
+		for pass := 0; pass < 2; pass++ {
+			for _, s := range c.saves {
+				if (s.Kind == SaveMachine) != (pass == 0) {
+					continue
+				}
+				if s.Kind != EndJob && room > 0 {
+					batch = append(batch, s)
+					room--
+				} else {
+					rest = append(rest, s)
+				}
+			}
+		}
+	}
+	c.saves = rest
+	c.saving = true
+	c.emit(Commit{batch})
+}
+
+func (c *Core) saveBack(now time.Time, ev SaveBack) {
+	c.saving = false
+	if ev.Outcome == Unknown || ev.Outcome == NotSent {
+		// Every save may be repeated: it writes whole values, under the condition
+		// that this leader's token is still the last one.
+		c.saves = append(ev.Saves, c.saves...)
+		c.saveAt = now.Add(300 * time.Millisecond)
+		return
+	}
+	for _, s := range ev.Saves {
+		switch s.Kind {
+		case SaveMachine:
+			if m := c.machines[s.Machine.Machine]; m != nil && ev.Outcome == OK {
+				m.Registered = true
+				c.dirty = true
+			}
+		case SaveTasks:
+			if j := c.jobs[s.Job]; j != nil && ev.Outcome == OK {
+				j.Durable(s.Chunk*c.set.ChunkTasks, s.Bits)
+			}
+		case EndJob:
+			// Done: the watch tells of it too. Refused: somebody else has ended the
+			// job, or an earlier copy of this very save has; the watch tells.
+			if ev.Outcome == OK {
+				c.endJob(now, s.Job)
+			}
+		}
+	}
+}
+
+// nextTry gives an attempt number that no leader gives again: the token is in
+// its upper half.
+func (c *Core) nextTry() uint64 {
+	c.tries++
+	return c.token<<24 + c.tries
+}
+
+// nextHire gives a rental request a name that is never used again.
+func (c *Core) nextHire() string {
+	c.hires++
+	return fmt.Sprintf("%s-%d-%d", c.set.Member, c.token, c.hires)
+}
--- /dev/null
+++ b/internal/control/events.go
@@ -0,0 +1,142 @@
+// Package control is the core of a leading controller. It holds the picture of
+// jobs and machines, takes events and gives effects. It does no input or
+// output, starts no goroutine and reads no clock; all of that is in package
+// node.
+package control
+
+import (
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// Event is what happens to a leader.
+type Event interface{ controlEvent() }
+
+// Outcome is what became of a request to the outside.
+type Outcome uint8
+
+// The outcomes.
+const (
+	OK      Outcome = iota + 1
+	Refused         // carried out: no
+	NotSent         // certainly not carried out, now or later
+	Unknown         // may have been carried out, or may yet be
+)
+
+// The events.
+type (
+	// Tick is due at Core.Wake.
+	Tick struct{}
+	// JobAdded: a job was accepted.
+	JobAdded struct {
+		Spec    *model.Spec
+		At      time.Time
+		Version uint64
+	}
+	// JobEnded: the state service holds that the job is done or cancelled.
+	JobEnded struct{ ID string }
+	// ReportIn: a worker's report has come; Answer is its effect.
+	ReportIn struct{ Report *model.Report }
+	// CommandBack: a direct command was answered, or not. Report is the
+	// worker's report after it, where one came.
+	CommandBack struct {
+		Machine string
+		Session uint64
+		Orders  []model.Order
+		Outcome Outcome
+		Report  *model.Report
+	}
+	// CatalogIn: the machine types.
+	CatalogIn struct{ Types []model.MachineType }
+	// ListIn: the machine list, asked for at Asked.
+	ListIn struct {
+		Machines []model.Listed
+		Asked    time.Time
+	}
+	// RentBack: a rental request was answered, or not.
+	RentBack struct {
+		Rental   model.Rental
+		Outcome  Outcome
+		Machines []string
+	}
+	// ReturnBack: machines are gone (OK), or the outcome is unknown.
+	ReturnBack struct {
+		Machines []string
+		Outcome  Outcome
+	}
+	// SaveBack: records were saved, or not. Failed names the jobs whose
+	// conditions failed.
+	SaveBack struct {
+		Saves   []Save
+		Outcome Outcome
+	}
+)
+
+func (Tick) controlEvent()        {}
+func (JobAdded) controlEvent()    {}
+func (JobEnded) controlEvent()    {}
+func (ReportIn) controlEvent()    {}
+func (CommandBack) controlEvent() {}
+func (CatalogIn) controlEvent()   {}
+func (ListIn) controlEvent()      {}
+func (RentBack) controlEvent()    {}
+func (ReturnBack) controlEvent()  {}
+func (SaveBack) controlEvent()    {}
+
+// SaveKind says what a Save writes.
+type SaveKind uint8
+
+// The kinds of a Save.
+const (
+	SaveMachine SaveKind = iota + 1 // a machine may hold tasks from now on
+	DropMachine                     // it holds none any more, for good
+	SaveTasks                       // a chunk of a job's finished-task record
+	DropTasks                       // a chunk of an ended job
+	EndJob                          // all tasks of the job are done
+)
+
+// Save is one change of the leader's records.
+type Save struct {
+	Kind    SaveKind
+	Machine model.Listed // SaveMachine, DropMachine (its name)
+	Job     string       // SaveTasks, DropTasks, EndJob
+	Version uint64       // EndJob: of the job's record
+	Tasks   int          // EndJob: how many it has
+	Chunk   int          // SaveTasks, DropTasks
+	Bits    []byte       // SaveTasks
+}
+
+// Effect is what a leader wants done.
+type Effect interface{ controlEffect() }
+
+// The effects. All but Answer are answered by an event.
+type (
+	// Answer is the answer to the report of this Step.
+	Answer struct{ Orders []model.Order }
+	// Command sends commands straight to a worker.
+	Command struct {
+		Machine, Addr string
+		Session       uint64
+		Orders        []model.Order
+	}
+	// Rent asks the cloud for machines. After an unknown outcome it is repeated
+	// under its own name only.
+	Rent struct{ Rental model.Rental }
+	// Return gives machines back.
+	Return struct{ Machines []string }
+	// List asks for the machine list.
+	List struct{}
+	// Catalog asks for the machine types.
+	Catalog struct{}
+	// Commit saves records in one transaction.
+	Commit struct{ Saves []Save }
+)
+
+func (Answer) controlEffect()  {}
+func (Command) controlEffect() {}
+func (Rent) controlEffect()    {}
+func (Return) controlEffect()  {}
+func (List) controlEffect()    {}
+func (Catalog) controlEffect() {}
+func (Commit) controlEffect()  {}
--- /dev/null
+++ b/internal/control/machines.go
@@ -0,0 +1,646 @@
+package control
+
+import (
+	"time"
+
+	"github.com/glentiller/glentiller/internal/fleet"
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// reportIn takes a worker's report and answers it.
+func (c *Core) reportIn(now time.Time, r *model.Report) {
+	m := c.machines[r.Machine]
+	if m == nil {
+		if _, ok := c.gone[r.Machine]; ok {
+			// Guards against a report that was held back until its machine was gone.
+			c.emit(Answer{})
+			return
+		}
+		// A machine that nobody here rented. No leader launches anything on a
+		// machine without a record, so it holds nothing.
+		m = c.newMachine(now, model.Listed{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, model.Booting)
+		c.register(m)
+		c.log.Info("unexpected machine reports", "machine", m.Name, "type", r.Type, "zone", r.Zone)
+	}
+	if r.Session <= m.DeadSession || r.Session < m.Session {
+		c.emit(Answer{}) // of an earlier session: its worker drops the answer
+		return
+	}
+	c.observe(now, m, r)
+	// Every answered report, even one that was overtaken, may renew the lease.
+	m.Deadline = c.leaseEnd(now)
+	c.emit(Answer{c.orders(now, m)})
+	delete(c.news, m)
+}
+
+// observe takes what a worker says of itself, unless something newer is known.
+func (c *Core) observe(now time.Time, m *model.Machine, r *model.Report) {
+	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq {
+		return
+	}
+	if r.Session > m.Session {
+		if m.Session != 0 {
+			c.log.Warn("worker's lease has run out", "machine", m.Name, "session", r.Session)
+			c.loseAll(now, m, "new session")
+		}
+		m.DeadSession = r.Session - 1
+		m.Errors = map[string]int{}
+	}
+	m.Session, m.Seq, m.Token, m.LastReport, m.Addr = r.Session, r.Seq, r.Token, now, r.Addr
+	if r.Type != m.Type.Name || m.Type.Cap.CPU < 1e-6 {
+		m.Type = c.typeOf(r.Type)
+	}
+	m.Zone, m.Spot = r.Zone, r.Spot
+
+	seen := make(map[model.AttemptKey]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		key := model.AttemptKey{Task: t.Task, Try: t.Try}
+		seen[key] = true
+		a := m.Rows[key]
+		if a == nil {
+			a = c.adopt(now, m, t)
+		}
+		c.update(now, a, t)
+	}
+	for key, a := range m.Rows {
+		if seen[key] {
+			continue
+		}
+		switch {
+		case a.State == model.Ended:
+			a.Set(model.Dropped)
+			delete(m.Rows, key)
+		case a.Phase != 0:
+			// It was there, and a newer report of the same session lacks it.
+			c.log.Warn("attempt has vanished", "task", a.Task, "try", a.Try, "machine", m.Name)
+			c.lose(now, a)
+			delete(m.Rows, key)
+		}
+	}
+	if m.State == model.Booting && m.Set(now, model.Ready, "") {
+		m.EmptySince = now
+		c.dirty = true
+		c.log.Info("machine is up", "machine", m.Name, "type", m.Type.Name, "zone", m.Zone, "spot", m.Spot)
+	}
+	if m.Unsure && m.Token >= c.token {
+		c.settle(now, m, "reported")
+	}
+	if r.Notice {
+		if m.Notice.IsZero() {
+			c.log.Info("spot notice", "machine", m.Name, "in", r.NoticeIn)
+			m.Notice = now.Add(r.NoticeIn)
+			c.drain(now, m, "notice")
+		}
+		c.evacuate(now, m)
+	}
+}
+
+// settle notes that everything on a machine from before the takeover is known:
+// see docs/safety.md, "Rebuilding".
+func (c *Core) settle(now time.Time, m *model.Machine, why string) {
+	m.Unsure = false
+	c.unsure--
+	if m.State == model.Unsettled {
+		m.Set(now, model.Ready, "")
+	}
+	if m.Holding == 0 {
+		m.EmptySince = now
+	}
+	c.dirty = true
+	c.log.Debug("machine settled", "machine", m.Name, "how", why, "holding", m.Holding, "left", c.unsure)
+	if c.unsure > 0 {
+		return
+	}
+	c.log.Info("all machines settled", "token", c.token, "after", now.Sub(c.start))
+	for _, j := range c.jobs {
+		if j.Spec.Shape == model.Gang && len(j.Live) > 0 && !c.whole(j) {
+			c.breakGang(now, j)
+		}
+	}
+}
+
+// whole tells whether all tasks of a gang are live with one attempt number.
+func (c *Core) whole(j *model.Job) bool {
+	var try uint64
+	for _, a := range j.Live {
+		if try != 0 && a.Try != try || a.State == model.Stopping {
+			return false
+		}
+		try = a.Try
+	}
+	return len(j.Live) == j.Unfinished()
+}
+
+// adopt enters an attempt that only the worker knew.
+func (c *Core) adopt(now time.Time, m *model.Machine, t *model.TaskReport) *model.Attempt {
+	a := &model.Attempt{Task: t.Task, Try: t.Try, Machine: m, Session: m.Session, Job: c.jobs[t.Task.Job], Phase: t.Phase, LaunchedAt: now}
+	m.Rows[model.AttemptKey{Task: t.Task, Try: t.Try}] = a
+	j := a.Job
+	if j == nil || t.Task.Index >= j.Spec.Tasks {
+		// Of a job that has ended. What it takes is not known any more, so it
+		// counts as taking the whole machine, for every team, until it is gone.
+		a.Job, a.Need = nil, m.Type.Cap
+		a.Set(model.Present)
+		if t.Phase != model.Exited {
+			c.stop(now, a, 0)
+		}
+		return a
+	}
+	a.Need, a.Team = j.Spec.Need, j.Spec.Team
+	a.Set(model.Present)
+	m.Images[j.Spec.Image] = now
+	if t.Phase == model.Exited {
+		return a
+	}
+	if j.Live[t.Task.Index] != nil || j.Task(t.Task.Index) == model.TaskDone {
+		c.log.Warn("task is not wanted here", "task", t.Task, "try", t.Try, "machine", m.Name)
+		c.stop(now, a, 0)
+		return a
+	}
+	j.Live[t.Task.Index] = a
+	j.SetTask(t.Task.Index, model.TaskLive)
+	if j.Spec.Shape == model.Gang {
+		j.Gang = model.GangLive
+	}
+	return a
+}
+
+// update takes what a report says of one attempt.
+func (c *Core) update(now time.Time, a *model.Attempt, t *model.TaskReport) {
+	if a.State == model.Ended || a.State == model.Dropped {
+		return
+	}
+	if t.Phase == model.Exited {
+		c.exited(now, a, t)
+		return
+	}
+	if a.State == model.Launching {
+		a.Set(model.Present)
+	}
+	if t.Phase == model.Running && a.Phase != model.Running {
+		a.RunningAt = now
+	}
+	a.Phase = t.Phase
+}
+
+// exited takes the end of an attempt.
+func (c *Core) exited(now time.Time, a *model.Attempt, t *model.TaskReport) {
+	a.Cause, a.Phase = t.Cause, model.Exited
+	c.log.Debug("attempt ended", "task", a.Task, "try", a.Try, "machine", a.Machine.Name, "why", t.Cause.String(), "saved", t.Saved)
+	j, i := a.Job, a.Task.Index
+	if j == nil || j.State == model.JobEnded {
+		c.release(now, a, model.Ended)
+		return
+	}
+	switch t.Cause {
+	case model.CauseDone:
+		if j.Spec.Shape == model.Gang {
+			// When one task of a gang is done, all are.
+			for k := 0; k < j.Spec.Tasks; k++ {
+				c.taskDone(now, j, k)
+			}
+		} else {
+			c.taskDone(now, j, i)
+		}
+		a.Machine.Errors[j.Spec.ID] = 0
+	case model.CauseError:
+		c.failed(now, a)
+	case model.CauseNoRoom, model.CauseBusy, model.CauseUnknown:
+		c.log.Warn("start refused", "task", a.Task, "machine", a.Machine.Name, "why", t.Cause.String())
+		j.NotBefore = now.Add(c.set.Backoff / 4)
+	}
+	c.release(now, a, model.Ended)
+}
+
+// release takes an attempt off its machine's account. Its task waits again
+// unless it is done.
+func (c *Core) release(now time.Time, a *model.Attempt, s model.AttemptState) {
+	a.Set(s)
+	if a.Machine.Holding == 0 {
+		a.Machine.EmptySince = now
+	}
+	c.dirty = true
+	j, i := a.Job, a.Task.Index
+	if j == nil || j.Live[i] != a {
+		return
+	}
+	delete(j.Live, i)
+	if j.State == model.JobEnded {
+		return
+	}
+	if j.Task(i) != model.TaskDone {
+		if j.Count(model.TaskNew)+j.Count(model.TaskRestart) == 0 {
+			j.WaitSince = now
+		}
+		j.SetTask(i, model.TaskRestart)
+	}
+	if j.Spec.Shape == model.Gang {
+		if len(j.Live) == 0 {
+			j.Gang = model.GangIdle
+		} else if j.Unfinished() > 0 {
+			c.breakGang(now, j)
+		}
+	}
+}
+
+// breakGang stops what is left of a gang that has lost a task: the others make
+// no progress, and the next attempt starts when all of them are gone.
+func (c *Core) breakGang(now time.Time, j *model.Job) {
+	if j.Gang == model.GangBroken || j.Gang == model.GangHalting {
+		return
+	}
+	j.Gang = model.GangBroken
+	for _, a := range j.Live {
+		c.stop(now, a, 0)
+	}
+}
+
+// lose takes an attempt as gone without a word.
+func (c *Core) lose(now time.Time, a *model.Attempt) {
+	if a.Holds() {
+		c.release(now, a, model.Dropped)
+	} else if a.State == model.Ended {
+		a.Set(model.Dropped)
+	}
+}
+
+// loseAll takes everything on a machine as gone.
+func (c *Core) loseAll(now time.Time, m *model.Machine, why string) {
+	if n := m.Holding; n > 0 {
+		c.log.Info("attempts lost", "machine", m.Name, "count", n, "why", why)
+	}
+	for key, a := range m.Rows {
+		delete(m.Rows, key)
+		c.lose(now, a)
+	}
+}
+
+// failed accounts a task that ended with an error: errors of several jobs
+// condemn the machine, errors on several machines put the job off.
+func (c *Core) failed(now time.Time, a *model.Attempt) {
+	j, m := a.Job, a.Machine
+	id := j.Spec.ID
+	m.Errors[id]++
+	j.ErrorOn[m.Name]++
+	j.Errors++
+	jobs, good := 0, false
+	for other, n := range m.Errors {
+		if n > 0 {
+			jobs++
+			if o := c.jobs[other]; o != nil && (o.Good || c.runsElsewhere(now, o, m)) {
+				good = true
+			}
+		}
+	}
+	if jobs >= c.set.SickErrors || good && m.Errors[id] >= c.set.SickErrors {
+		c.drain(now, m, "sick")
+	}
+	if len(j.ErrorOn) >= 2 && !j.Good {
+		wait := c.set.Backoff << min(len(j.ErrorOn)-2, 6)
+		j.NotBefore = now.Add(min(wait, c.set.BackoffMost))
+		if len(j.ErrorOn) >= 4 {
+			j.ErrorOn = map[string]int{m.Name: 1} // it fails everywhere: no machine is to blame
+		}
+	}
+	c.log.Warn("task failed", "task", a.Task, "machine", m.Name, "errors_of_job", j.Errors, "jobs_failing_here", jobs)
+}
+
+// runsElsewhere tells whether a job does well on another machine.
+func (c *Core) runsElsewhere(now time.Time, j *model.Job, m *model.Machine) bool {
+	for _, a := range j.Live {
+		if a.Machine != m && a.Phase == model.Running && now.Sub(a.RunningAt) > 15*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// stop tells an attempt to stop.
+func (c *Core) stop(now time.Time, a *model.Attempt, grace time.Duration) {
+	if a.Stop(now, grace) {
+		a.Told = 0
+		c.news[a.Machine] = true
+	}
+}
+
+// grace is how long an attempt may take to save.
+func grace(a *model.Attempt) time.Duration {
+	if a.Job == nil || a.Job.Spec.Checkpoint == 0 {
+		return 0
+	}
+	return a.Job.Spec.Save + 2*time.Second
+}
+
+// halt stops an attempt in order. Of a gang all tasks are stopped together.
+func (c *Core) halt(now time.Time, a *model.Attempt) {
+	j := a.Job
+	if j == nil || j.Spec.Shape != model.Gang {
+		c.stop(now, a, grace(a))
+		return
+	}
+	if j.Gang == model.GangLive {
+		j.Gang = model.GangHalting
+		for _, b := range j.Live {
+			c.stop(now, b, grace(b))
+		}
+	}
+}
+
+// drain places nothing more on a machine; it is given back when it is empty.
+func (c *Core) drain(now time.Time, m *model.Machine, why string) {
+	if m.Set(now, model.Draining, why) {
+		c.log.Info("draining", "machine", m.Name, "why", why, "holding", m.Holding)
+		c.dirty = true
+	}
+}
+
+// evacuate moves the tasks off a machine under notice: what can save is stopped
+// in order, what cannot and will not finish in time is stopped too.
+func (c *Core) evacuate(now time.Time, m *model.Machine) {
+	left := m.Notice.Sub(now)
+	for _, a := range m.Rows {
+		if !a.Holds() || a.State == model.Stopping {
+			continue
+		}
+		j := a.Job
+		if j == nil {
+			continue
+		}
+		ran := time.Duration(0)
+		if !a.RunningAt.IsZero() {
+			ran = now.Sub(a.RunningAt)
+		}
+		if j.Spec.Shape == model.Array && j.Spec.Checkpoint == 0 && j.Spec.Estimate-ran < left {
+			continue
+		}
+		c.halt(now, a)
+	}
+}
+
+// orders lists everything that a worker is to do, for the answer to a report.
+func (c *Core) orders(now time.Time, m *model.Machine) []model.Order {
+	var out []model.Order
+	for _, a := range m.Rows {
+		if len(out) >= maxOrders {
+			break
+		}
+		out = c.order1(out, a)
+		if a.State == model.Ended && c.forgettable(a) {
+			out = append(out, model.Order{Op: model.OpForget, Task: a.Task, Try: a.Try})
+		}
+	}
+	return out
+}
+
+// maxOrders keeps an answer far below the published limit.
+const maxOrders = 200
+
+// order1 adds the orders that bring one attempt to where it should be. An
+// unwanted attempt that no report has shown yet is launched and stopped: then
+// the worker knows it, and a late copy of its launch does nothing
+// (docs/safety.md, "Late launches").
+func (c *Core) order1(out []model.Order, a *model.Attempt) []model.Order {
+	switch {
+	case a.State == model.Launching, a.State == model.Stopping && a.Phase == 0:
+		out = append(out, model.Order{Op: model.OpLaunch, Task: a.Task, Try: a.Try})
+	}
+	if a.State == model.Stopping && (a.Phase != model.Saving || a.Grace == 0) {
+		out = append(out, model.Order{Op: model.OpStop, Task: a.Task, Try: a.Try, Grace: a.Grace})
+	}
+	return out
+}
+
+// forgettable tells whether the row of an ended attempt may be removed: what it
+// did is durable, and no copy of its launch can come late.
+func (c *Core) forgettable(a *model.Attempt) bool {
+	if a.StrayLaunch || a.Machine.Token < c.token {
+		return false
+	}
+	if a.Cause != model.CauseDone || a.Job == nil || a.Job.Spec.Shape == model.Service {
+		return true
+	}
+	return a.Job.Saved(a.Task.Index)
+}
+
+// sendDirect sends new launches and stops straight to a worker.
+func (c *Core) sendDirect(now time.Time, m *model.Machine) {
+	if m.Direct {
+		return
+	}
+	delete(c.news, m)
+	if now.Before(m.HoldOff) || m.Session == 0 || m.Session <= m.DeadSession || m.Addr == "" || m.State >= model.Returning {
+		return // the next answer to a report carries it
+	}
+	var out []model.Order
+	for _, a := range m.Rows {
+		if !a.Holds() || a.Told == a.State || len(out) >= maxOrders {
+			continue
+		}
+		n := len(out)
+		out = c.order1(out, a)
+		for _, o := range out[n:] {
+			if o.Op == model.OpLaunch {
+				a.StrayLaunch = true
+			}
+		}
+		a.Told = a.State
+	}
+	if len(out) > 0 {
+		m.Direct = true
+		c.emit(Command{Machine: m.Name, Addr: m.Addr, Session: m.Session, Orders: out})
+	}
+}
+
+func (c *Core) commandBack(now time.Time, ev CommandBack) {
+	m := c.machines[ev.Machine]
+	if m == nil {
+		return
+	}
+	m.Direct = false
+	if ev.Outcome == Unknown {
+		m.HoldOff = now.Add(c.set.DirectHold)
+	} else {
+		for _, o := range ev.Orders {
+			if a := m.Rows[model.AttemptKey{Task: o.Task, Try: o.Try}]; a != nil && o.Op == model.OpLaunch {
+				a.StrayLaunch = false
+			}
+		}
+	}
+	if ev.Report != nil && ev.Report.Machine == m.Name && ev.Report.Session > m.DeadSession {
+		c.observe(now, m, ev.Report)
+	}
+	for _, a := range m.Rows {
+		if a.Holds() && a.Told != a.State && (a.State == model.Launching || a.State == model.Stopping) {
+			c.news[m] = true
+		}
+	}
+}
+
+// sweep looks after what time brings: leases that run out, machines that do not
+// come up, fall silent or stand empty.
+func (c *Core) sweep(now time.Time) {
+	silent, up := 0, 0
+	for _, m := range c.machines {
+		if m.State == model.Ready || m.State == model.Draining || m.State == model.Unsettled {
+			up++
+			if now.Sub(m.LastReport) > c.set.SilentAfter {
+				silent++
+			}
+		}
+	}
+	var back []string
+	giveBack := func(m *model.Machine, why string) {
+		if len(back) < maxReturn && m.Set(now, model.Returning, why) {
+			c.log.Info("returning", "machine", m.Name, "type", m.Type.Name, "why", why, "holding", m.Holding)
+			back = append(back, m.Name)
+		}
+	}
+	for _, m := range c.machines {
+		if m.State != model.Booting && now.After(m.Deadline) && (m.Session > m.DeadSession || m.Unsure) {
+			c.log.Warn("lease has certainly run out", "machine", m.Name, "session", m.Session)
+			m.DeadSession = m.Session
+			c.loseAll(now, m, "lease")
+			if m.Unsure {
+				c.settle(now, m, "lease")
+			}
+		}
+		switch m.State {
+		case model.Booting:
+			if now.Sub(m.Since) > c.set.Fleet.BootLimit(m.Type) {
+				giveBack(m, "boot")
+			}
+		case model.Ready, model.Unsettled, model.Draining:
+			switch {
+			case now.Sub(m.LastReport) > c.set.SilentAfter && now.After(c.resumeAt) && (silent <= 1 || float64(silent) <= c.set.SilentShare*float64(up)):
+				giveBack(m, "silent")
+			case m.Unsure || m.Holding > 0:
+			case m.State == model.Draining:
+				giveBack(m, m.Why)
+			case now.Sub(m.EmptySince) > c.set.Fleet.Keep(m.Type):
+				giveBack(m, "idle")
+			}
+		case model.Returning:
+			if now.Sub(m.Since) > returnRetry && len(back) < maxReturn {
+				m.Since = now
+				back = append(back, m.Name)
+			}
+		}
+	}
+	if len(back) > 0 {
+		c.emit(Return{back})
+	}
+	for name, at := range c.gone {
+		if now.Sub(at) > goneKept {
+			delete(c.gone, name)
+		}
+	}
+	for name, at := range c.rentAt {
+		if now.After(at) {
+			c.rentAt[name] = now.Add(time.Minute) // until it is answered
+			c.emit(Rent{c.renting[name]})
+		}
+	}
+	for _, j := range c.jobs {
+		if !j.NotBefore.IsZero() && now.After(j.NotBefore) {
+			j.NotBefore = time.Time{}
+			c.dirty = true
+		}
+	}
+	if now.Sub(c.lastPass) > time.Second {
+		c.dirty = true // slack and waiting change with time alone
+	}
+}
+
+const (
+	maxReturn   = 100 // machines in one request
+	returnRetry = 5 * time.Second
+	goneKept    = 15 * time.Minute
+)
+
+func (c *Core) register(m *model.Machine) {
+	c.saves = append(c.saves, Save{Kind: SaveMachine, Machine: model.Listed{Machine: m.Name, Addr: m.Addr, Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot}})
+}
+
+func (c *Core) rentBack(now time.Time, ev RentBack) {
+	r := ev.Rental
+	if ev.Outcome == Unknown || ev.Outcome == NotSent {
+		c.rentAt[r.Name] = now.Add(time.Second)
+		return
+	}
+	delete(c.renting, r.Name)
+	delete(c.rentAt, r.Name)
+	offer := fleet.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	if len(ev.Machines) < r.Count {
+		c.refused[offer] = now.Add(c.set.Fleet.Refused)
+	}
+	c.log.Info("rented", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(ev.Machines))
+	for _, name := range ev.Machines {
+		if _, ok := c.gone[name]; ok || c.machines[name] != nil {
+			continue
+		}
+		c.register(c.newMachine(now, model.Listed{Machine: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, model.Booting))
+	}
+	c.dirty = true
+}
+
+func (c *Core) returnBack(now time.Time, ev ReturnBack) {
+	for _, name := range ev.Machines {
+		m := c.machines[name]
+		if m == nil {
+			continue
+		}
+		if ev.Outcome != OK {
+			m.Since = now.Add(-returnRetry + time.Second)
+			continue
+		}
+		// It and everything on it are gone.
+		c.loseAll(now, m, "returned")
+		if m.Unsure {
+			c.settle(now, m, "returned")
+		}
+		m.Set(now, model.Gone, "")
+		delete(c.machines, name)
+		delete(c.news, m)
+		c.gone[name] = now
+		c.saves = append(c.saves, Save{Kind: DropMachine, Machine: model.Listed{Machine: name}})
+	}
+}
+
+func (c *Core) catalogIn(now time.Time, ev CatalogIn) {
+	c.catalogs = false
+	if len(ev.Types) == 0 {
+		c.catalogAt = now.Add(2 * time.Second)
+		return
+	}
+	c.catalogAt = now.Add(c.set.CatalogEvery)
+	c.types = ev.Types
+	for _, m := range c.machines {
+		m.Type = c.typeOf(m.Type.Name)
+	}
+	c.dirty = true
+}
+
+func (c *Core) listIn(now time.Time, ev ListIn) {
+	c.listing = false
+	c.listAt = now.Add(c.set.ListEvery)
+	for _, l := range ev.Machines {
+		m := c.machines[l.Machine]
+		if m == nil {
+			if at, ok := c.gone[l.Machine]; ok && ev.Asked.Sub(at) < 3*c.set.ListLag+10*time.Second {
+				continue // the list lags
+			}
+			m = c.newMachine(now, l, model.Booting)
+			m.Since = now.Add(-l.Age)
+			c.register(m)
+			c.log.Info("unexpected machine is listed", "machine", l.Machine, "type", l.Type, "zone", l.Zone)
+		}
+		if m.Addr == "" {
+			m.Addr = l.Addr
+		}
+		if l.Failed && m.State != model.Returning && m.Set(now, model.Returning, "failed") {
+			c.log.Info("returning", "machine", m.Name, "why", "failed", "holding", m.Holding)
+			c.emit(Return{[]string{m.Name}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/pass.go
@@ -0,0 +1,242 @@
+package control
+
+import (
+	"time"
+
+	"github.com/glentiller/glentiller/internal/fleet"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+// pass places what waits, stops what makes room for it, and rents for the rest.
+func (c *Core) pass(now time.Time) {
+	c.dirty, c.lastPass = false, now
+	if len(c.types) == 0 {
+		return
+	}
+	p, coming := c.picture(now)
+	if len(p.Wants) == 0 {
+		return
+	}
+	plan := sched.Make(&c.set.Sched, p)
+	var gang *sched.Want
+	var try uint64
+	for _, pl := range plan.Place {
+		if pl.Want.Job.Spec.Shape != model.Gang {
+			c.launch(now, pl, c.nextTry())
+			continue
+		}
+		if pl.Want != gang {
+			gang, try = pl.Want, c.nextTry()
+		}
+		c.launch(now, pl, try)
+	}
+	for _, v := range plan.Stop {
+		c.log.Info("preempting", "task", v.Attempt.Task, "machine", v.Attempt.Machine.Name, "rank", v.Rank.String(), "over", v.Over)
+		c.halt(now, v.Attempt)
+	}
+	c.rent(now, plan.Lacking, coming)
+}
+
+// launch starts one task of a want. From here on it counts as being on the
+// machine: see docs/safety.md, "What is on a machine".
+func (c *Core) launch(now time.Time, pl sched.Placement, try uint64) {
+	j, m := pl.Want.Job, pl.Node.Machine
+	from := model.TaskNew
+	if pl.Want.Restart {
+		from = model.TaskRestart
+	}
+	i, ok := j.Take(from)
+	if !ok || j.Live[i] != nil {
+		return
+	}
+	a := &model.Attempt{Task: model.TaskID{Job: j.Spec.ID, Index: i}, Try: try, Job: j, Machine: m, Session: m.Session,
+		Need: j.Spec.Need, Team: j.Spec.Team, LaunchedAt: now}
+	a.Set(model.Launching)
+	m.Rows[model.AttemptKey{Task: a.Task, Try: try}] = a
+	j.Live[i] = a
+	j.SetTask(i, model.TaskLive)
+	if j.Spec.Shape == model.Gang {
+		j.Gang = model.GangLive
+	}
+	m.Images[j.Spec.Image] = now
+	c.news[m] = true
+	c.log.Debug("launch", "task", a.Task, "try", try, "machine", m.Name, "restart", pl.Want.Restart)
+}
+
+// placeable tells whether work may be placed on a machine now.
+func (c *Core) placeable(now time.Time, m *model.Machine) bool {
+	return m.State == model.Ready && m.Registered && !m.Unsure && m.Notice.IsZero() && m.Session > m.DeadSession &&
+		now.Sub(m.LastReport) <= c.set.SilentAfter/2
+}
+
+// picture shows the scheduler what there is.
+func (c *Core) picture(now time.Time) (*sched.Picture, []*fleet.Coming) {
+	p := &sched.Picture{Used: map[string]model.Resources{}, Teams: c.teams, Zones: c.set.Zones}
+	guaranteed := c.guaranteed()
+	strict := false
+	for _, j := range c.order {
+		strict = c.wants(now, p, j, guaranteed[j]) || strict
+	}
+	var coming []*fleet.Coming
+	var unknown model.Resources // of attempts whose team is not known, and of unsettled machines
+	for _, m := range c.machines {
+		if m.State == model.Booting {
+			coming = append(coming, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot})
+			continue
+		}
+		if m.Unsure {
+			unknown = unknown.Add(m.Type.Cap) // its worst case
+			continue
+		}
+		nd := &sched.Node{Machine: m, Free: m.Free()}
+		open := c.placeable(now, m)
+		for _, a := range m.Rows {
+			if !a.Holds() {
+				continue
+			}
+			if a.Job == nil {
+				unknown = unknown.Add(a.Need)
+				continue
+			}
+			p.Used[a.Team] = p.Used[a.Team].Add(a.Need)
+			if !open {
+				continue
+			}
+			if a.State == model.Stopping {
+				nd.Freeing = nd.Freeing.Add(a.Need)
+			} else if strict && a.Job.State == model.JobActive {
+				nd.Victims = append(nd.Victims, c.victim(now, a, guaranteed[a.Job]))
+			}
+		}
+		if open {
+			nd.Reserved = c.reserve(m.Type, m.Spot)
+			if nd.Reserved.GPU > nd.Free.GPU+1e-6 {
+				nd.Reserved = model.Resources{} // the GPU work is there already
+			}
+			p.Nodes = append(p.Nodes, nd)
+		}
+	}
+	for t := range c.teams {
+		p.Used[t] = p.Used[t].Add(unknown)
+	}
+	for _, r := range c.renting {
+		for n := 0; n < r.Count; n++ {
+			coming = append(coming, &fleet.Coming{Type: c.typeOf(r.Type), Zone: r.Zone, Spot: r.Spot})
+		}
+	}
+	return p, coming
+}
+
+// victim describes an attempt that might be stopped to make room.
+func (c *Core) victim(now time.Time, a *model.Attempt, guaranteed bool) sched.Running {
+	s := a.Job.Spec
+	v := sched.Running{Attempt: a, Rank: s.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang, Young: true}
+	if !a.RunningAt.IsZero() {
+		ran := now.Sub(a.RunningAt)
+		v.Loss, v.Young = ran, ran < c.set.Sched.MinRun
+		if s.Checkpoint > 0 {
+			v.Loss = 0 // it saves when it is stopped
+		}
+	}
+	return v
+}
+
+// guaranteed tells which jobs fit into their team's guarantee together with the
+// team's earlier unfinished jobs.
+func (c *Core) guaranteed() map[*model.Job]bool {
+	sum := map[string]model.Resources{}
+	out := make(map[*model.Job]bool, len(c.order))
+	for _, j := range c.order {
+		s := j.Spec
+		team := c.teams[s.Team]
+		if team == nil {
+			continue
+		}
+		sum[s.Team] = sum[s.Team].Add(s.Need.Times(j.Unfinished()))
+		out[j] = model.Within(sum[s.Team], team.Guarantee)
+	}
+	return out
+}
+
+// wants adds what waits of a job, and tells whether room may be made for it.
+func (c *Core) wants(now time.Time, p *sched.Picture, j *model.Job, guaranteed bool) bool {
+	if j.State != model.JobActive || j.Count(model.TaskNew)+j.Count(model.TaskRestart) == 0 {
+		return false
+	}
+	// A task of a job from before the takeover may sit on a machine that is not
+	// settled yet; a job that was accepted later cannot.
+	if c.unsure > 0 && j.Version <= c.rev || now.Before(j.NotBefore) {
+		return false
+	}
+	s := j.Spec
+	if s.Shape == model.Gang && len(j.Live) > 0 {
+		return false // the attempt before is not gone yet
+	}
+	zones := map[string]int{}
+	for _, a := range j.Live {
+		zones[a.Machine.Zone]++
+	}
+	slack := time.Duration(0)
+	if s.Deadline > 0 {
+		slack = j.At.Add(s.Deadline).Sub(now) - s.Estimate
+	}
+	if s.Shape == model.Gang {
+		restart := j.Count(model.TaskRestart) > 0
+		// All tasks of a gang start together, so they wait in one state.
+		if restart {
+			for i, ok := j.Take(model.TaskNew); ok; i, ok = j.Take(model.TaskNew) {
+				j.SetTask(i, model.TaskRestart)
+			}
+		}
+		n := j.Unfinished()
+		p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: restart, Count: n, Cap: n, Slack: slack,
+			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
+		return s.Rank == model.Production || guaranteed
+	}
+	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew} {
+		if n := j.Count(st); n > 0 {
+			p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack,
+				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
+		}
+	}
+	return s.Rank == model.Production || guaranteed
+}
+
+// reserve is what tasks without GPU leave free on a machine with GPUs: the
+// largest GPU request of late that fits it.
+func (c *Core) reserve(t *model.MachineType, spot bool) model.Resources {
+	var most model.Resources
+	if spot || t.Cap.GPU == 0 {
+		return most
+	}
+	for need := range c.gpuNeed {
+		if need.Fits(t.Cap) && need.GPU >= most.GPU {
+			most = model.Resources{CPU: max(most.CPU, need.CPU), GPU: need.GPU, MemGB: max(most.MemGB, need.MemGB)}
+		}
+	}
+	return most
+}
+
+// rent asks for machines for what fits nowhere.
+func (c *Core) rent(now time.Time, lacking []sched.Shortage, coming []*fleet.Coming) {
+	if len(lacking) == 0 {
+		return
+	}
+	v := &fleet.View{Types: c.types, Coming: coming, Refused: c.refused, Count: map[string]int{}, Reserve: c.reserve}
+	for _, m := range c.machines {
+		v.Count[m.Zone]++
+	}
+	for _, ask := range fleet.Rent(&c.set.Fleet, now, v, lacking) {
+		if len(c.renting) >= maxRenting {
+			break
+		}
+		r := model.Rental{Name: c.nextHire(), Type: ask.Type, Zone: ask.Zone, Spot: ask.Spot, Count: ask.Count}
+		c.renting[r.Name] = r
+		c.log.Info("renting", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count, "for", ask.For)
+		c.emit(Rent{r})
+	}
+}
+
+// maxRenting bounds the rental requests in flight: the cloud takes few a second.
+const maxRenting = 4
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,316 @@
+// Package election decides who leads. It is a state machine without input or
+// output: events go in with the time, effects come out. The argument for its
+// safety is in docs/safety.md, "One leader".
+package election
+
+import (
+	"log/slog"
+	"time"
+)
+
+// State is where this controller stands.
+type State uint8
+
+// The states of a controller in the election.
+const (
+	Following State = iota // somebody else leads, or nobody
+	Looking                // reads who leads
+	Granting               // asks for a lease
+	Claiming               // tries to take the leader's key with that lease
+	Leading                // holds the key; whether it may act depends on the time, see Entitled
+)
+
+func (s State) String() string {
+	return [...]string{"following", "looking", "granting", "claiming", "leading"}[s]
+}
+
+// Settings are the election's times.
+type Settings struct {
+	Member string
+	Life   time.Duration // of the leader's lease
+	Margin time.Duration // by which the right to act ends before the lease can
+	Look   time.Duration // between looks at who leads
+	Retry  time.Duration // after a failed renewal
+}
+
+// Record is the content of the leader's keys.
+type Record struct {
+	Held         bool // somebody holds the leader's key
+	Leader       string
+	Lease        uint64
+	Token        uint64 // the last one given out
+	TokenVersion uint64
+}
+
+// Event is what happens to the election.
+type Event interface{ electionEvent() }
+
+// The events.
+type (
+	Tick   struct{}
+	Looked struct { // the leader's keys were read, or a watch has shown them
+		Record Record
+		Err    error
+	}
+	Vacant  struct{} // a watch has shown that nobody holds the leader's key
+	Granted struct {
+		Lease uint64
+		Sent  time.Time
+		Err   error
+	}
+	Claimed struct {
+		OK      bool
+		Version uint64 // of the token's key
+		Err     error
+	}
+	Touched struct {
+		Lease uint64
+		Sent  time.Time
+		Lost  bool // the lease is over
+		Err   error
+	}
+	// Fenced: a transaction of this leader failed on the token's version.
+	Fenced struct{ Token uint64 }
+	// Resign: step down in order.
+	Resign struct{}
+)
+
+func (Tick) electionEvent()    {}
+func (Looked) electionEvent()  {}
+func (Vacant) electionEvent()  {}
+func (Granted) electionEvent() {}
+func (Claimed) electionEvent() {}
+func (Touched) electionEvent() {}
+func (Fenced) electionEvent()  {}
+func (Resign) electionEvent()  {}
+
+// Effect is what the election wants done.
+type Effect interface{ electionEffect() }
+
+// The effects. Each of Look, Grant, Claim and Touch is answered by its event.
+type (
+	Look  struct{}
+	Grant struct{ Life time.Duration }
+	Claim struct {
+		Lease, Token, TokenVersion uint64
+	}
+	Touch   struct{ Lease uint64 }
+	Drop    struct{ Lease uint64 }
+	Elected struct{ Token, TokenVersion uint64 }
+	Deposed struct{}
+)
+
+func (Look) electionEffect()    {}
+func (Grant) electionEffect()   {}
+func (Claim) electionEffect()   {}
+func (Touch) electionEffect()   {}
+func (Drop) electionEffect()    {}
+func (Elected) electionEffect() {}
+func (Deposed) electionEffect() {}
+
+// Machine is the state of the election at one controller.
+type Machine struct {
+	set   Settings
+	log   *slog.Logger
+	state State
+
+	leader   string
+	next     time.Time // of the next look or renewal
+	lease    uint64
+	sent     time.Time // when the lease was asked for, or its last successful renewal sent
+	token    uint64
+	version  uint64
+	touching bool
+	holdOff  time.Time // do not stand before this
+}
+
+// New makes the state machine.
+func New(s Settings, log *slog.Logger) *Machine { return &Machine{set: s, log: log} }
+
+// State returns where this controller stands.
+func (m *Machine) State() State { return m.state }
+
+// Leader returns who leads as far as this controller knows; empty: unknown.
+func (m *Machine) Leader() string { return m.leader }
+
+// Token is the token of this controller's leadership.
+func (m *Machine) Token() uint64 { return m.token }
+
+// Version is the version of that token's record.
+func (m *Machine) Version() uint64 { return m.version }
+
+// RightUntil is when the right to act ends unless a renewal succeeds before.
+// It counts from the sending of the last renewal that succeeded, less the drift
+// of the clocks and a margin. Zero: no right.
+func (m *Machine) RightUntil() time.Time {
+	if m.state != Leading {
+		return time.Time{}
+	}
+	return m.sent.Add(m.set.Life - m.set.Life/1000 - m.set.Margin)
+}
+
+// Entitled tells whether this controller may act for all at the time.
+func (m *Machine) Entitled(now time.Time) bool {
+	return m.state == Leading && now.Before(m.RightUntil())
+}
+
+// Wake is when the next Tick is due.
+func (m *Machine) Wake() time.Time { return m.next }
+
+// to changes the state; it is the only place that does.
+func (m *Machine) to(s State, next time.Time) {
+	if m.state != s && (s == Leading || m.state == Leading) {
+		m.log.Info("election", "from", m.state.String(), "to", s.String(), "token", m.token)
+	}
+	m.state, m.next = s, next
+}
+
+// Step takes an event.
+func (m *Machine) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Tick:
+		return m.tick(now)
+	case Vacant:
+		if m.state == Following {
+			m.leader = ""
+			m.next = now
+			return m.tick(now)
+		}
+	case Looked:
+		return m.looked(now, ev)
+	case Granted:
+		if m.state != Granting {
+			if ev.Err == nil {
+				return []Effect{Drop{ev.Lease}}
+			}
+			return nil
+		}
+		if ev.Err != nil {
+			m.to(Following, now.Add(m.set.Retry))
+			return nil
+		}
+		m.lease, m.sent = ev.Lease, ev.Sent
+		m.to(Claiming, now.Add(m.set.Life))
+		return []Effect{Claim{Lease: ev.Lease, Token: m.token + 1, TokenVersion: m.version}}
+	case Claimed:
+		return m.claimed(now, ev)
+	case Touched:
+		return m.touched(now, ev)
+	case Fenced:
+		if m.state == Leading && ev.Token == m.token {
+			m.log.Warn("another leader has taken over")
+			return m.depose(now)
+		}
+	case Resign:
+		if m.state == Leading {
+			m.holdOff = now.Add(2 * m.set.Life)
+			return m.depose(now)
+		}
+	}
+	return nil
+}
+
+func (m *Machine) tick(now time.Time) []Effect {
+	if now.Before(m.next) {
+		return nil
+	}
+	switch m.state {
+	case Following:
+		m.to(Looking, now.Add(m.set.Life))
+		return []Effect{Look{}}
+	case Leading:
+		if m.touching {
+			m.next = now.Add(m.set.Retry)
+			return nil
+		}
+		m.touching = true
+		m.next = now.Add(m.set.Life / 4)
+		return []Effect{Touch{m.lease}}
+	default: // an answer is overdue; every effect is answered, so only wait on
+		m.next = now.Add(m.set.Retry)
+	}
+	return nil
+}
+
+func (m *Machine) looked(now time.Time, ev Looked) []Effect {
+	if m.state == Leading {
+		return nil
+	}
+	if ev.Err != nil {
+		if m.state == Looking {
+			m.to(Following, now.Add(m.set.Retry))
+		}
+		return nil
+	}
+	r := ev.Record
+	m.leader = ""
+	if r.Held {
+		m.leader = r.Leader
+	}
+	if m.state != Looking {
+		return nil
+	}
+	switch {
+	case r.Held && r.Leader == m.set.Member:
+		// Guards against waiting for a lease that an earlier life of this very
+		// process has left behind: that process is dead, nobody acts on it.
+		m.leader = ""
+		m.to(Following, now.Add(m.set.Retry/4))
+		return []Effect{Drop{r.Lease}}
+	case r.Held:
+		m.to(Following, now.Add(m.set.Look))
+	case now.Before(m.holdOff):
+		m.to(Following, now.Add(m.set.Retry))
+	default:
+		m.token, m.version = r.Token, r.TokenVersion
+		m.to(Granting, now.Add(m.set.Life))
+		return []Effect{Grant{m.set.Life}}
+	}
+	return nil
+}
+
+func (m *Machine) claimed(now time.Time, ev Claimed) []Effect {
+	if m.state != Claiming {
+		return nil
+	}
+	if !ev.OK {
+		// Lost the race, or the outcome is unknown. Dropping the lease undoes a
+		// claim that was carried out and kills one that comes late.
+		lease := m.lease
+		m.lease = 0
+		m.to(Following, now.Add(m.set.Retry/2))
+		return []Effect{Drop{lease}}
+	}
+	m.token, m.version = m.token+1, ev.Version
+	m.leader = m.set.Member
+	m.touching = false
+	m.to(Leading, m.sent.Add(m.set.Life/4))
+	return []Effect{Elected{Token: m.token, TokenVersion: m.version}}
+}
+
+func (m *Machine) touched(now time.Time, ev Touched) []Effect {
+	if m.state != Leading || ev.Lease != m.lease {
+		return nil
+	}
+	m.touching = false
+	switch {
+	case ev.Lost:
+		m.log.Warn("the leader's lease is over")
+		return m.depose(now)
+	case ev.Err != nil:
+		m.next = now.Add(m.set.Retry)
+	default:
+		if ev.Sent.After(m.sent) {
+			m.sent = ev.Sent
+		}
+		m.next = ev.Sent.Add(m.set.Life / 4)
+	}
+	return nil
+}
+
+func (m *Machine) depose(now time.Time) []Effect {
+	lease := m.lease
+	m.leader, m.lease, m.touching = "", 0, false
+	m.to(Following, now.Add(m.set.Retry))
+	return []Effect{Deposed{}, Drop{lease}}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,209 @@
+// Package fleet decides which machines to rent and which to give back. It is
+// pure, like package sched.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+// Settings are the fleet rule's starting values.
+type Settings struct {
+	KeepIdle   time.Duration // an empty machine is kept this long at least
+	KeepBoots  float64       // and this many times its type's boot time
+	BootFactor float64       // a machine that takes longer than this many boot times is replaced
+	BootExtra  time.Duration // plus this
+	Refused    time.Duration // a refused kind of machine is asked for again after this
+	MaxRent    int           // machines in one request
+}
+
+// Offer is a kind of machine: what one rental request asks for.
+type Offer struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// Ask is a number of machines of one kind.
+type Ask struct {
+	Offer
+	Count int
+	For   string
+}
+
+// Coming is a machine that is booting or on order.
+type Coming struct {
+	Type *model.MachineType
+	Zone string
+	Spot bool
+	free model.Resources
+}
+
+// Keep is how long an empty machine of the type is kept: as long as renting it
+// anew would take, and no less than a floor, since every rental pays a least
+// charge.
+func (s *Settings) Keep(t *model.MachineType) time.Duration {
+	return max(s.KeepIdle, time.Duration(s.KeepBoots*float64(t.Boot)))
+}
+
+// BootLimit is when a machine that has not come up is given up.
+func (s *Settings) BootLimit(t *model.MachineType) time.Duration {
+	return time.Duration(s.BootFactor*float64(t.Boot)) + s.BootExtra
+}
+
+// View is what the fleet rule decides from.
+type View struct {
+	Types   []model.MachineType
+	Coming  []*Coming
+	Refused map[Offer]time.Time                                   // not before
+	Count   map[string]int                                        // machines by zone, to spread over zones
+	Reserve func(t *model.MachineType, spot bool) model.Resources // kept for GPU work
+}
+
+// price is what one task costs an hour on a machine of the type, if the
+// machine is filled with tasks like it. Machines that GPU work needs are not
+// rented for anything else.
+func price(spec *model.Spec, t *model.MachineType, spot bool, reserve model.Resources) (float64, int) {
+	n := spec.Need.CountIn(t.Cap)
+	if n == 0 || spec.Need.GPU == 0 && reserve.GPU > 0 {
+		return 0, 0
+	}
+	p := t.Price
+	if spot {
+		p = t.SpotPrice
+	}
+	return p / float64(n), n
+}
+
+// Rent decides what to rent for the tasks that fit on no machine that is up.
+// Tasks first fill what is booting; for the rest the cheapest fitting kind that
+// was not refused lately is asked for.
+func Rent(s *Settings, now time.Time, v *View, lacking []sched.Shortage) []Ask {
+	for _, c := range v.Coming {
+		c.free = c.Type.Cap
+	}
+	var asks []Ask
+	for _, l := range lacking {
+		if l.Limited {
+			continue
+		}
+		spec := l.Want.Job.Spec
+		n := l.Count
+		zones := map[string]int{}
+		for z, k := range l.Want.Zones {
+			zones[z] = k
+		}
+		for ; n > 0; n-- {
+			if !fillComing(v, spec, zones) {
+				break
+			}
+		}
+		for n > 0 {
+			best, per, ok := cheapest(now, v, spec, zones)
+			if !ok {
+				break
+			}
+			t := typeOf(v.Types, best.Type)
+			c := &Coming{Type: t, Zone: best.Zone, Spot: best.Spot, free: t.Cap}
+			v.Coming = append(v.Coming, c)
+			v.Count[best.Zone]++
+			k := 0
+			for ; n > 0 && k < per; k++ {
+				if spec.Spread && zones[best.Zone] >= spec.ZoneCap() {
+					break
+				}
+				c.free = c.free.Sub(spec.Need)
+				zones[best.Zone]++
+				n--
+			}
+			if k == 0 {
+				break
+			}
+			asks = add(asks, best, spec.Class, s.MaxRent)
+		}
+	}
+	return asks
+}
+
+func add(asks []Ask, o Offer, why string, most int) []Ask {
+	for i := range asks {
+		if asks[i].Offer == o {
+			if asks[i].Count < most {
+				asks[i].Count++
+			}
+			return asks
+		}
+	}
+	return append(asks, Ask{o, 1, why})
+}
+
+func typeOf(types []model.MachineType, name string) *model.MachineType {
+	for i := range types {
+		if types[i].Name == name {
+			return &types[i]
+		}
+	}
+	return nil
+}
+
+func fillComing(v *View, spec *model.Spec, zones map[string]int) bool {
+	for _, c := range v.Coming {
+		if c.Spot && !spec.Spot || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
+			continue
+		}
+		free := c.free
+		if spec.Need.GPU == 0 && c.Type.Cap.GPU > 0 {
+			free = free.Sub(v.Reserve(c.Type, c.Spot))
+		}
+		if !spec.Need.Fits(free) || spec.Spread && zones[c.Zone] >= spec.ZoneCap() {
+			continue
+		}
+		c.free = c.free.Sub(spec.Need)
+		zones[c.Zone]++
+		return true
+	}
+	return false
+}
+
+func cheapest(now time.Time, v *View, spec *model.Spec, zones map[string]int) (Offer, int, bool) {
+	type option struct {
+		Offer
+		price float64
+		per   int
+		count int
+	}
+	var options []option
+	for i := range v.Types {
+		t := &v.Types[i]
+		if !spec.AllowsType(t.Name) {
+			continue
+		}
+		for _, spot := range []bool{false, true} {
+			if spot && !spec.Spot {
+				continue
+			}
+			p, per := price(spec, t, spot, v.Reserve(t, spot))
+			if per == 0 {
+				continue
+			}
+			for _, z := range t.Zones {
+				o := Offer{t.Name, z, spot}
+				if spec.Zone != "" && z != spec.Zone || now.Before(v.Refused[o]) || spec.Spread && zones[z] >= spec.ZoneCap() {
+					continue
+				}
+				options = append(options, option{o, p, per, v.Count[z]})
+			}
+		}
+	}
+	if len(options) == 0 {
+		return Offer{}, 0, false
+	}
+	best := slices.MinFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.count, b.count), cmp.Compare(a.Zone, b.Zone))
+	})
+	return best.Offer, best.per, true
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,332 @@
+// Package front answers users, workers and the load balancer's probes over
+// HTTP.
+package front
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// Jobs is what the front needs of the job records.
+type Jobs interface {
+	Peek(id string) store.JobView
+	Lookup(ctx context.Context, id string) (store.JobView, error)
+	Accept(ctx context.Context, s *model.Spec, now time.Time) (bool, store.JobView, error)
+	Cancel(ctx context.Context, id string) (store.JobView, error)
+}
+
+// Verdict is what became of a worker's report.
+type Verdict struct {
+	Act    bool // this controller answers for all; Token and Orders hold
+	Leader string
+	Token  uint64
+	Orders []model.Order
+	// Valid tells, at the moment of sending, whether the right to act still holds.
+	Valid func() bool
+}
+
+// Backend is what the front needs of the controller behind it.
+type Backend interface {
+	// Report takes a worker's report.
+	Report(ctx context.Context, r *model.Report) Verdict
+	// Progress tells how far an unfinished job is, for display.
+	Progress(id string) (done, running int)
+	// Types are the machine types; empty: not known yet.
+	Types() []model.MachineType
+	// Team finds a team.
+	Team(name string) *model.Team
+	// Healthy tells whether this controller can take requests.
+	Healthy() bool
+	// StateDown tells since when the state service has not answered.
+	StateDown() time.Duration
+}
+
+// Settings are the front's.
+type Settings struct {
+	RetryAfter time.Duration
+	Conns      int
+}
+
+// Server answers requests.
+type Server struct {
+	set     Settings
+	jobs    Jobs
+	back    Backend
+	log     *slog.Logger
+	now     func() time.Time
+	httpSrv *fasthttp.Server
+}
+
+// New makes a server. now is the time of day.
+func New(set Settings, jobs Jobs, back Backend, now func() time.Time, log *slog.Logger) *Server {
+	s := &Server{set: set, jobs: jobs, back: back, log: log, now: now}
+	s.httpSrv = &fasthttp.Server{
+		Handler:                       s.Handle,
+		ErrorHandler:                  s.malformed,
+		Name:                          "glentiller",
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		DisableHeaderNamesNormalizing: false,
+		MaxRequestBodySize:            wire.MaxBody + 1,
+		ReadBufferSize:                4096,
+		WriteBufferSize:               2048,
+		Concurrency:                   set.Conns,
+		IdleTimeout:                   90 * time.Second,
+		ReadTimeout:                   90 * time.Second,
+		WriteTimeout:                  5 * time.Second,
+		ReduceMemoryUsage:             true,
+		CloseOnShutdown:               true,
+		Logger:                        quiet{},
+	}
+	return s
+}
+
+// quiet drops the HTTP library's own log: broken connections are everyday.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Serve answers requests until the listener is closed.
+func (s *Server) Serve(l net.Listener) error { return s.httpSrv.Serve(l) }
+
+// Shutdown stops serving.
+func (s *Server) Shutdown() error { return s.httpSrv.Shutdown() }
+
+// malformed answers what is not HTTP, or too large.
+func (s *Server) malformed(c *fasthttp.RequestCtx, err error) {
+	s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, "malformed request"))
+	c.SetConnectionClose()
+}
+
+const jobsPath = "/api/jobs"
+
+// userWait bounds how long a user's request may take; users give up after 5 s,
+// polls after 2 s.
+const (
+	userWait = 3 * time.Second
+	pollWait = 1500 * time.Millisecond
+)
+
+// Handle answers one request.
+func (s *Server) Handle(c *fasthttp.RequestCtx) {
+	defer func() {
+		// A request that trips over a mistake of ours must not take the
+		// controller, and every other user's requests, with it.
+		if r := recover(); r != nil {
+			s.log.Error("request failed", "path", string(c.Path()), "panic", r)
+			s.unavailable(c, "internal error")
+		}
+	}()
+	path := string(c.URI().PathOriginal())
+	switch {
+	case path == "/v1/report":
+		if s.method(c, fasthttp.MethodPost) {
+			s.report(c)
+		}
+	case path == "/healthz":
+		if s.method(c, fasthttp.MethodGet) {
+			if s.back.Healthy() {
+				s.reply(c, fasthttp.StatusOK, nil)
+			} else {
+				s.unavailable(c, "not ready")
+			}
+		}
+	case path == jobsPath:
+		if s.method(c, fasthttp.MethodPost) {
+			s.submit(c)
+		}
+	case strings.HasPrefix(path, jobsPath+"/"):
+		id := path[len(jobsPath)+1:]
+		if rest, ok := strings.CutSuffix(id, "/withdraw"); ok {
+			if s.method(c, fasthttp.MethodPost) {
+				s.withdraw(c, rest)
+			}
+			return
+		}
+		if s.method(c, fasthttp.MethodGet) {
+			s.poll(c, id)
+		}
+	default:
+		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such path"))
+	}
+}
+
+func (s *Server) method(c *fasthttp.RequestCtx, want string) bool {
+	if string(c.Method()) == want {
+		return true
+	}
+	c.Response.Header.Set("Allow", want)
+	s.reply(c, fasthttp.StatusMethodNotAllowed, wire.AppendError(nil, "method not allowed"))
+	return false
+}
+
+func (s *Server) reply(c *fasthttp.RequestCtx, status int, body []byte) {
+	c.SetStatusCode(status)
+	c.SetContentType("application/msgpack")
+	c.SetBody(body)
+}
+
+// unavailable tells the other side to come back.
+func (s *Server) unavailable(c *fasthttp.RequestCtx, why string) {
+	c.Response.Header.Set("Retry-After", strconv.Itoa(max(1, int(s.set.RetryAfter.Round(time.Second)/time.Second))))
+	s.reply(c, fasthttp.StatusServiceUnavailable, wire.AppendError(nil, why))
+}
+
+// submit takes a job. A known id is answered before anything is validated; an
+// answer that the job was accepted is given only after its record is durable.
+func (s *Server) submit(c *fasthttp.RequestCtx) {
+	body := c.PostBody()
+	if len(body) > wire.MaxBody {
+		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, "the body is too large"))
+		return
+	}
+	if err := wire.Valid(body); err != nil {
+		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, err.Error()))
+		return
+	}
+	id, err := wire.PeekRef(body)
+	if err != nil {
+		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, err.Error()))
+		return
+	}
+	if v := s.jobs.Peek(id); v.State.Ended() {
+		s.reply(c, fasthttp.StatusOK, wire.AppendShortStatus(nil, id, v.State))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), userWait)
+	defer cancel()
+	spec, err := wire.DecodeJob(body)
+	why := ""
+	status := fasthttp.StatusUnprocessableEntity
+	if err != nil {
+		status, why = fasthttp.StatusBadRequest, err.Error()
+	} else if types := s.back.Types(); len(types) == 0 {
+		status, why = fasthttp.StatusServiceUnavailable, "the machine types are not known yet"
+	} else if ok, w := model.CanEverRun(spec, s.back.Team(spec.Team), types); !ok {
+		why = w
+	}
+	if why != "" || s.jobs.Peek(id).State != wire.StateUnknown {
+		// Never to be accepted, or known already: the present state decides.
+		v, err := s.jobs.Lookup(ctx, id)
+		switch {
+		case err != nil:
+			s.unavailable(c, "the state service does not answer")
+		case v.State != wire.StateUnknown:
+			s.known(c, id, v)
+		case status == fasthttp.StatusServiceUnavailable:
+			s.unavailable(c, why)
+		case why == "":
+			s.unavailable(c, "try again")
+		default:
+			s.reply(c, status, wire.AppendError(nil, why))
+		}
+		return
+	}
+	created, v, err := s.jobs.Accept(ctx, spec, s.now())
+	switch {
+	case err != nil:
+		s.log.Debug("submission not accepted", "id", id, "err", err)
+		s.unavailable(c, "the state service does not answer")
+	case created:
+		s.reply(c, fasthttp.StatusCreated, wire.AppendShortStatus(nil, id, wire.StateQueued))
+	default:
+		s.known(c, id, v)
+	}
+}
+
+// known answers a repeated submission with the job's state.
+func (s *Server) known(c *fasthttp.RequestCtx, id string, v store.JobView) {
+	st, _, _ := s.state(id, v)
+	s.reply(c, fasthttp.StatusOK, wire.AppendShortStatus(nil, id, st))
+}
+
+// state adds the progress to an unfinished job's state.
+func (s *Server) state(id string, v store.JobView) (st wire.JobState, done, running int) {
+	switch v.State {
+	case wire.StateDone:
+		return v.State, v.Tasks, 0
+	case wire.StateQueued:
+		done, running = s.back.Progress(id)
+		if running > 0 {
+			return wire.StateRunning, done, running
+		}
+	}
+	return v.State, done, 0
+}
+
+func (s *Server) poll(c *fasthttp.RequestCtx, id string) {
+	if !wire.JobIDValid(id) {
+		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pollWait)
+	defer cancel()
+	v, err := s.jobs.Lookup(ctx, id)
+	switch {
+	case err != nil:
+		s.unavailable(c, "the state service does not answer")
+	case v.State == wire.StateUnknown:
+		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
+	default:
+		st, done, running := s.state(id, v)
+		s.reply(c, fasthttp.StatusOK, wire.AppendStatus(nil, id, st, done, running))
+	}
+}
+
+func (s *Server) withdraw(c *fasthttp.RequestCtx, id string) {
+	if !wire.JobIDValid(id) {
+		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), userWait)
+	defer cancel()
+	v, err := s.jobs.Cancel(ctx, id)
+	switch {
+	case err != nil:
+		s.unavailable(c, "the state service does not answer")
+	case v.State == wire.StateUnknown:
+		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
+	default:
+		s.reply(c, fasthttp.StatusOK, wire.AppendShortStatus(nil, id, v.State))
+	}
+}
+
+// reportWait bounds how long a report may wait for its answer: its worker drops
+// answers after 4 s.
+const reportWait = 2 * time.Second
+
+var errLate = errors.New("no answer in time")
+
+func (s *Server) report(c *fasthttp.RequestCtx) {
+	r, err := wire.DecodeReport(c.PostBody())
+	if err != nil {
+		s.log.Warn("malformed report", "err", err)
+		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, err.Error()))
+		return
+	}
+	ctx, cancel := context.WithTimeoutCause(context.Background(), reportWait, errLate)
+	defer cancel()
+	v := s.back.Report(ctx, r)
+	// The right to act is checked here, where the answer leaves, and not only
+	// where it was worked out: docs/safety.md, "The right to act".
+	if v.Act && v.Valid() {
+		s.reply(c, fasthttp.StatusOK, wire.AppendReportAnswer(nil, v.Token, v.Orders))
+		return
+	}
+	if v.Act {
+		s.unavailable(c, "the right to act has lapsed")
+		return
+	}
+	s.reply(c, fasthttp.StatusMisdirectedRequest, wire.AppendLeader(nil, v.Leader))
+}
--- /dev/null
+++ b/internal/model/attempt.go
@@ -0,0 +1,184 @@
+package model
+
+import (
+	"fmt"
+	"time"
+)
+
+// AttemptState is where one start of a task stands, as the leader knows it.
+type AttemptState uint8
+
+// The states of an attempt. From Launching to Stopping it counts as being on
+// its machine; see docs/safety.md, "What is on a machine".
+const (
+	Launching AttemptState = iota + 1 // its launch may have been sent; no report has shown it yet
+	Present                           // a report has shown it on its machine
+	Stopping                          // it was told to stop, or is about to be
+	Ended                             // a report has shown its exit; its row is still on the machine
+	Dropped                           // it is certainly not on the machine, or its row was forgotten
+)
+
+func (s AttemptState) String() string {
+	return [...]string{"none", "launching", "present", "stopping", "ended", "dropped"}[s]
+}
+
+// attemptMoves holds the allowed changes of an attempt's state.
+var attemptMoves = map[AttemptState][]AttemptState{
+	Launching: {Present, Stopping, Ended, Dropped},
+	Present:   {Stopping, Ended, Dropped},
+	Stopping:  {Ended, Dropped},
+	Ended:     {Dropped},
+}
+
+// Attempt is one start of a task on one machine. Its (Task, Try) never comes
+// again.
+type Attempt struct {
+	Task    TaskID
+	Try     uint64
+	Job     *Job // nil: the job has ended or is unknown
+	Machine *Machine
+	Session uint64 // of the worker
+	State   AttemptState
+	Phase   Phase // as last reported
+	Cause   Cause
+	Need    Resources
+	Team    string
+
+	LaunchedAt time.Time
+	RunningAt  time.Time // first seen running
+	StopAt     time.Time // when it was told to stop
+	Grace      time.Duration
+	Told       AttemptState // the state that a direct command has told the worker of
+
+	// StrayLaunch: a direct launch was sent and never answered. A copy of it may
+	// still arrive, so the row must not be forgotten; docs/safety.md, "Late
+	// launches".
+	StrayLaunch bool
+}
+
+// Holds tells whether the attempt counts as being on its machine.
+func (a *Attempt) Holds() bool { return a.State >= Launching && a.State <= Stopping }
+
+// Set changes the attempt's state; it is the only place that does. The
+// machine's and the job's accounts follow.
+func (a *Attempt) Set(s AttemptState) {
+	if a.State == s {
+		return
+	}
+	ok := a.State == 0
+	for _, to := range attemptMoves[a.State] {
+		ok = ok || to == s
+	}
+	if !ok {
+		panic(fmt.Sprintf("attempt %v/%d: %v -> %v", a.Task, a.Try, a.State, s))
+	}
+	held := a.Holds()
+	a.State = s
+	if held == a.Holds() {
+		return
+	}
+	if a.Holds() {
+		a.Machine.Used = a.Machine.Used.Add(a.Need)
+		a.Machine.Holding++
+	} else {
+		a.Machine.Used = a.Machine.Used.Sub(a.Need)
+		a.Machine.Holding--
+		if a.Machine.Holding == 0 {
+			a.Machine.Used = Resources{}
+		}
+	}
+}
+
+// Stop marks the attempt as told to stop, and tells whether that is news. A
+// later stop may shorten the grace, never extend it.
+func (a *Attempt) Stop(now time.Time, grace time.Duration) bool {
+	if !a.Holds() || a.State == Stopping && a.Grace <= grace {
+		return false
+	}
+	if a.State != Stopping {
+		a.StopAt = now
+	}
+	a.Grace = grace
+	a.Set(Stopping)
+	return true
+}
+
+// MachineState is where a machine stands, as the leader knows it.
+type MachineState uint8
+
+// The states of a machine.
+const (
+	Booting   MachineState = iota + 1 // rented; its worker has not reported
+	Unsettled                         // from before the takeover; may hold tasks that nobody here knows
+	Ready                             // what is on it is known
+	Draining                          // nothing more is placed on it
+	Returning                         // the cloud was asked to take it back
+	Gone                              // the cloud has taken it back
+)
+
+func (s MachineState) String() string {
+	return [...]string{"none", "booting", "unsettled", "ready", "draining", "returning", "gone"}[s]
+}
+
+var machineMoves = map[MachineState][]MachineState{
+	Booting:   {Ready, Draining, Returning},
+	Unsettled: {Ready, Draining, Returning},
+	Ready:     {Draining, Returning},
+	Draining:  {Returning},
+	Returning: {Gone},
+}
+
+// AttemptKey names an attempt on a machine.
+type AttemptKey struct {
+	Task TaskID
+	Try  uint64
+}
+
+// Machine is a rented machine.
+type Machine struct {
+	Name, Addr, Zone string
+	Type             *MachineType
+	Spot             bool
+	State            MachineState
+	Since            time.Time // when this state began
+	Why              string    // why it drains
+	Registered       bool      // its record is durable
+
+	// Unsure: it is from before the takeover, and neither a report with this
+	// leader's token has come nor has its lease certainly run out.
+	Unsure bool
+
+	Session, Seq, Token uint64    // of the newest report
+	Deadline            time.Time // by then its worker's lease has certainly run out unless a report is answered
+	LastReport          time.Time
+	DeadSession         uint64 // sessions up to this one are certainly over
+
+	Used    Resources
+	Holding int // attempts that count as being on it
+	Rows    map[AttemptKey]*Attempt
+
+	EmptySince time.Time
+	Notice     time.Time // when the cloud takes it; zero: no notice
+	Images     map[string]time.Time
+
+	Errors  map[string]int // errors by job
+	Direct  bool           // a direct command is in flight
+	HoldOff time.Time      // no direct command before this
+}
+
+// Set changes the machine's state; it is the only place that does. It tells
+// whether the change is allowed and new.
+func (m *Machine) Set(now time.Time, s MachineState, why string) bool {
+	ok := m.State == 0
+	for _, to := range machineMoves[m.State] {
+		ok = ok || to == s
+	}
+	if !ok {
+		return false
+	}
+	m.State, m.Since, m.Why = s, now, why
+	return true
+}
+
+// Free is what is not taken.
+func (m *Machine) Free() Resources { return m.Type.Cap.Sub(m.Used) }
--- /dev/null
+++ b/internal/model/job.go
@@ -0,0 +1,175 @@
+package model
+
+import "time"
+
+// TaskState is where a task stands.
+type TaskState uint8
+
+// The states of a task.
+const (
+	TaskNew     TaskState = iota // never started
+	TaskLive                     // an attempt of it counts as being on a machine
+	TaskRestart                  // waits to be started again
+	TaskDone
+)
+
+// JobState is where a job stands with the leader.
+type JobState uint8
+
+// The states of a job. Only what the state service holds ends a job.
+const (
+	JobActive JobState = iota + 1
+	JobEnding          // all tasks are done; the record of that is on its way
+	JobEnded           // done or cancelled, for good
+)
+
+var jobMoves = map[JobState][]JobState{
+	0:         {JobActive},
+	JobActive: {JobEnding, JobEnded},
+	JobEnding: {JobEnded, JobActive},
+}
+
+// Job is an accepted job.
+type Job struct {
+	Spec    *Spec
+	At      time.Time // when it was accepted
+	Version uint64    // of its record
+	State   JobState
+
+	tasks   []TaskState
+	counts  [TaskDone + 1]int
+	pending [TaskDone + 1][]int // by state, only TaskNew and TaskRestart; may hold stale numbers
+
+	Live map[int]*Attempt // the attempt that holds, by task
+
+	Bits     []byte       // finished tasks, a bit each
+	Dirty    map[int]bool // chunks of Bits that are not durable yet
+	Recorded map[int]bool // chunks that a record was ever written of
+	saved    []byte       // the part of Bits that is durable
+
+	WaitSince time.Time // since when a task of it waits
+	Gang      GangState
+
+	Errors    int // errors in a row, with no success between
+	ErrorOn   map[string]int
+	Good      bool // a task of it has completed, or has run well
+	NotBefore time.Time
+}
+
+// GangState is where the attempt of a gang stands.
+type GangState uint8
+
+// The states of a gang.
+const (
+	GangIdle    GangState = iota // no task is on a machine
+	GangLive                     // all tasks were launched with one attempt number
+	GangBroken                   // a task is gone; the others are told to stop
+	GangHalting                  // all tasks were told to stop in order
+)
+
+// NewJob makes the leader's view of an accepted job.
+func NewJob(s *Spec, at time.Time, version uint64) *Job {
+	j := &Job{Spec: s, At: at, Version: version, WaitSince: at, tasks: make([]TaskState, s.Tasks),
+		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[int]bool{}, Recorded: map[int]bool{}, ErrorOn: map[string]int{}}
+	j.counts[TaskNew] = s.Tasks
+	for i := s.Tasks - 1; i >= 0; i-- {
+		j.pending[TaskNew] = append(j.pending[TaskNew], i)
+	}
+	j.Set(JobActive)
+	return j
+}
+
+// Set changes the job's state; it is the only place that does. It tells whether
+// the change is allowed.
+func (j *Job) Set(s JobState) bool {
+	for _, to := range jobMoves[j.State] {
+		if to == s {
+			j.State = s
+			return true
+		}
+	}
+	return false
+}
+
+// Task returns a task's state.
+func (j *Job) Task(i int) TaskState { return j.tasks[i] }
+
+// SetTask changes a task's state; it is the only place that does. A finished
+// task stays finished.
+func (j *Job) SetTask(i int, s TaskState) {
+	if j.tasks[i] == s || j.tasks[i] == TaskDone {
+		return
+	}
+	j.counts[j.tasks[i]]--
+	j.counts[s]++
+	j.tasks[i] = s
+	switch s {
+	case TaskNew, TaskRestart:
+		j.pending[s] = append(j.pending[s], i)
+	case TaskDone:
+		j.Bits[i/8] |= 1 << (i % 8)
+	}
+}
+
+// Count tells how many tasks are in a state.
+func (j *Job) Count(s TaskState) int { return j.counts[s] }
+
+// Unfinished is the number of tasks that are not done.
+func (j *Job) Unfinished() int { return len(j.tasks) - j.counts[TaskDone] }
+
+// Take removes and returns one task that waits in the state.
+func (j *Job) Take(s TaskState) (int, bool) {
+	p := j.pending[s]
+	for len(p) > 0 {
+		i := p[len(p)-1]
+		p = p[:len(p)-1]
+		if j.tasks[i] == s {
+			j.pending[s] = p
+			return i, true
+		}
+	}
+	j.pending[s] = p
+	return 0, false
+}
+
+// Load applies a chunk of the finished-task record, whose first bit is task
+// from.
+func (j *Job) Load(from int, bits []byte) {
+	for k, b := range bits {
+		for n := 0; b != 0; n++ {
+			if i := from + k*8 + n; b&1 != 0 && i < len(j.tasks) {
+				j.SetTask(i, TaskDone)
+			}
+			b >>= 1
+		}
+	}
+}
+
+// Running counts the live tasks that a report has shown running.
+func (j *Job) Running() int {
+	n := 0
+	for _, a := range j.Live {
+		if a.Phase == Running || a.Phase == Saving {
+			n++
+		}
+	}
+	return n
+}
+
+// Durable notes a chunk of the finished-task record, whose first bit is task
+// from, as saved.
+func (j *Job) Durable(from int, bits []byte) {
+	if j.saved == nil {
+		j.saved = make([]byte, len(j.Bits))
+	}
+	for k, b := range bits {
+		if i := from/8 + k; i < len(j.saved) {
+			j.saved[i] |= b
+		}
+	}
+}
+
+// Saved tells whether a finished task is in the durable record.
+func (j *Job) Saved(i int) bool {
+	return j.State == JobEnded || j.saved != nil && j.saved[i/8]&(1<<(i%8)) != 0
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,565 @@
+// Package node is a controller: it puts sockets, timers and clients round the
+// cores of election and control. One goroutine owns both cores; everything else
+// reaches them through its inbox.
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/glentiller/glentiller/internal/cloud"
+	"github.com/glentiller/glentiller/internal/config"
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/front"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/worker"
+)
+
+// Node is one controller.
+type Node struct {
+	plat *config.Platform
+	oper *config.Operator
+	set  control.Settings
+	log  *slog.Logger
+
+	state   *store.Client
+	jobs    *store.Jobs
+	cloud   *cloud.Client
+	workers *worker.Client
+	front   *front.Server
+	teams   map[string]*model.Team
+
+	group *errgroup.Group
+	ctx   context.Context
+	inbox chan func(now time.Time)
+
+	changeMu sync.Mutex
+	changes  []store.JobChange // of the job records, in order, for the loop
+	changed  chan struct{}
+
+	// Owned by the loop.
+	elect *election.Machine
+	core  *control.Core
+	term  uint64 // counts the leaderships of this process; effects of an earlier one are void
+
+	// Shown to others.
+	right    atomic.Pointer[right]
+	leader   atomic.Pointer[string]
+	types    atomic.Pointer[[]model.MachineType]
+	progress atomic.Pointer[map[string][2]int]
+}
+
+// right is the right to act, as it was last renewed.
+type right struct {
+	token, version uint64
+	until          time.Time
+}
+
+func (r *right) holds() bool { return r != nil && time.Now().Before(r.until) }
+
+// New makes a controller.
+func New(p *config.Platform, o *config.Operator, log *slog.Logger) *Node {
+	n := &Node{plat: p, oper: o, set: config.Control(p, o), log: log, teams: map[string]*model.Team{}, inbox: make(chan func(time.Time), 256),
+		changed: make(chan struct{}, 1)}
+	teams := p.Teams()
+	for i := range teams {
+		n.teams[teams[i].Name] = &teams[i]
+	}
+	n.state = store.New(p.Outside.State, o.Front.StateTimeout.D())
+	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, n.jobsChanged, log)
+	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout)
+	n.workers = worker.New(o.Workers.DirectWait.D())
+	n.elect = election.New(config.Election(p, o), log)
+	conns := p.Deployment.Limits.MaxConnections
+	if conns == 0 {
+		conns = 1000
+	}
+	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns * 2 / 3}, n.jobs, n, time.Now, log)
+	n.share(false)
+	return n
+}
+
+// cloudTimeout bounds a request to the cloud.
+const cloudTimeout = 4 * time.Second
+
+// share sets this controller's part of the published limits. All controllers
+// spend from the same allowance; the leader does most of the work.
+func (n *Node) share(leading bool) {
+	d := &n.plat.Deployment
+	nodes := float64(len(n.plat.Members) + 1)
+	part := 0.9
+	if nodes > 1 {
+		part = 0.35 / (nodes - 1)
+		if leading {
+			part = 0.5
+		}
+	}
+	n.state.SetRates(part*d.State.RPS, part*d.State.WriteRPS)
+	c := 0.05
+	if leading {
+		c = 0.85
+	}
+	n.cloud.SetRate(c * d.Cloud.RPS)
+}
+
+// Run serves until the context ends or something breaks that cannot be mended.
+func (n *Node) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp4", n.plat.Front)
+	if err != nil {
+		return err
+	}
+	n.group, n.ctx = errgroup.WithContext(ctx)
+	n.group.Go(func() error {
+		if err := n.front.Serve(l); err != nil {
+			return err
+		}
+		return n.ctx.Err()
+	})
+	n.group.Go(func() error {
+		<-n.ctx.Done()
+		return errors.Join(l.Close(), n.front.Shutdown())
+	})
+	n.group.Go(func() error { return n.loop() })
+	n.group.Go(func() error { return n.jobs.Run(n.ctx) })
+	n.group.Go(func() error { return n.watchLeader() })
+	n.group.Go(func() error { return n.fetchTypes() })
+	n.log.Info("serving", "member", n.plat.Member, "front", n.plat.Front)
+	err = n.group.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// loop owns the cores.
+func (n *Node) loop() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return nil
+		case f := <-n.inbox:
+			now := time.Now()
+			f(now)
+			for more := true; more; {
+				select {
+				case f := <-n.inbox:
+					f(now)
+				default:
+					more = false
+				}
+			}
+		case <-n.changed:
+			n.applyChanges(time.Now())
+		case <-timer.C:
+		}
+		now := time.Now()
+		n.elected(now, n.elect.Step(now, election.Tick{}))
+		wake := n.elect.Wake()
+		if n.core != nil && n.right.Load().holds() {
+			n.step(now, control.Tick{})
+			if w := n.core.Wake(); w.Before(wake) {
+				wake = w
+			}
+		}
+		timer.Reset(max(time.Until(wake), time.Millisecond))
+	}
+}
+
+// post hands a piece of work to the loop.
+func (n *Node) post(f func(now time.Time)) {
+	select {
+	case n.inbox <- f:
+	case <-n.ctx.Done():
+	}
+}
+
+// spawn runs a piece of input or output beside the loop.
+func (n *Node) spawn(f func()) {
+	n.group.Go(func() error { f(); return nil })
+}
+
+// --- election
+
+// elected carries out the election's effects.
+func (n *Node) elected(now time.Time, effects []election.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case election.Look:
+			n.spawn(func() {
+				r, _, err := n.state.Look(n.ctx)
+				n.election(election.Looked{Record: r, Err: err})
+			})
+		case election.Grant:
+			n.spawn(func() {
+				sent := time.Now()
+				lease, err := n.state.Grant(e.Life)
+				n.election(election.Granted{Lease: lease, Sent: sent, Err: err})
+			})
+		case election.Claim:
+			n.spawn(func() {
+				v, ok, err := n.state.Claim(n.ctx, n.plat.Member, e)
+				n.election(election.Claimed{OK: ok, Version: v, Err: err})
+			})
+		case election.Touch:
+			n.spawn(func() {
+				sent := time.Now()
+				err := n.state.Touch(e.Lease)
+				lost := errors.Is(err, store.ErrLeaseOver)
+				n.election(election.Touched{Lease: e.Lease, Sent: sent, Lost: lost, Err: err})
+			})
+		case election.Drop:
+			n.spawn(func() {
+				for range 3 {
+					if n.state.Drop(e.Lease) == nil {
+						return
+					}
+					store.Wait(n.ctx, 300*time.Millisecond)
+				}
+			})
+		case election.Elected:
+			n.term++
+			n.share(true)
+			n.takeOver(n.term, e)
+		case election.Deposed:
+			n.term++
+			n.core = nil
+			n.share(false)
+		}
+	}
+	var r *right
+	if n.elect.State() == election.Leading {
+		old := n.right.Load()
+		r = &right{n.elect.Token(), n.elect.Version(), n.elect.RightUntil()}
+		if old != nil && n.core != nil && old.token == r.token && !old.until.Equal(r.until) && !now.Before(old.until) {
+			n.log.Info("right to act is back", "token", r.token, "lapsed", now.Sub(old.until))
+			n.core.Resume(now)
+		}
+	}
+	n.right.Store(r)
+	leader := n.elect.Leader()
+	n.leader.Store(&leader)
+}
+
+// election hands an event to the election.
+func (n *Node) election(ev election.Event) {
+	n.post(func(now time.Time) { n.elected(now, n.elect.Step(now, ev)) })
+}
+
+// watchLeader tells the election when the leader's key is free.
+func (n *Node) watchLeader() error {
+	var rev uint64
+	for n.ctx.Err() == nil {
+		if rev == 0 {
+			r, at, err := n.state.Look(n.ctx)
+			if err != nil {
+				store.Wait(n.ctx, 500*time.Millisecond)
+				continue
+			}
+			rev = at
+			n.election(election.Looked{Record: r})
+		}
+		at, vacant, leader, err := n.state.WatchLeader(n.ctx, rev)
+		if err != nil {
+			rev = 0
+			store.Wait(n.ctx, 300*time.Millisecond)
+			continue
+		}
+		rev = at
+		if vacant {
+			n.election(election.Vacant{})
+		} else if leader != "" {
+			n.election(election.Looked{Record: election.Record{Held: true, Leader: leader}})
+		}
+	}
+	return nil
+}
+
+// takeOver reads what a new leader needs, and starts its core.
+func (n *Node) takeOver(term uint64, e election.Elected) {
+	n.spawn(func() {
+		for n.ctx.Err() == nil {
+			snap := &control.Snapshot{}
+			err := n.jobs.Sync(n.ctx)
+			if err == nil {
+				snap.Done, snap.Machines, err = n.state.Records(n.ctx)
+			}
+			if err == nil {
+				started := make(chan bool, 1)
+				n.post(func(now time.Time) {
+					if n.term == term {
+						// Read in the loop: no change of a job can come in between.
+						active, rev := n.jobs.Active()
+						snap.Revision = rev
+						for _, v := range active {
+							snap.Jobs = append(snap.Jobs, control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
+						}
+						n.core = control.New(now, n.set, e.Token, snap, n.Types(), n.log)
+					}
+					started <- true
+				})
+				return
+			}
+			n.log.Warn("takeover: reading the records", "err", err)
+			stop := make(chan bool, 1)
+			n.post(func(time.Time) { stop <- n.term != term })
+			select {
+			case over := <-stop:
+				if over {
+					return
+				}
+			case <-n.ctx.Done():
+			}
+			store.Wait(n.ctx, 200*time.Millisecond)
+		}
+	})
+}
+
+// --- control
+
+// step hands an event to the core, if this controller may act.
+func (n *Node) step(now time.Time, ev control.Event) []control.Effect {
+	if n.core == nil {
+		return nil
+	}
+	effects := n.core.Step(now, ev)
+	for _, e := range effects {
+		n.perform(now, e)
+	}
+	return effects
+}
+
+// back hands the answer to an effect to the core of the same leadership.
+func (n *Node) back(term uint64, ev control.Event) {
+	n.post(func(now time.Time) {
+		if n.term == term {
+			n.step(now, ev)
+		}
+	})
+}
+
+// perform carries out one effect. Whoever needs the right to act has it checked
+// right before the request leaves.
+func (n *Node) perform(now time.Time, e control.Effect) {
+	term, r := n.term, n.right.Load()
+	if r == nil {
+		return
+	}
+	may := func() bool { cur := n.right.Load(); return cur != nil && cur.token == r.token && cur.holds() }
+	switch e := e.(type) {
+	case control.Command:
+		orders := append([]model.Order(nil), e.Orders...)
+		n.spawn(func() {
+			ev := control.CommandBack{Machine: e.Machine, Session: e.Session, Orders: orders, Outcome: control.NotSent}
+			if may() {
+				reply := n.workers.Commands(e.Addr, r.token, e.Session, orders)
+				ev.Report = reply.Report
+				switch {
+				case reply.Executed:
+					ev.Outcome = control.OK
+				case reply.NotSent:
+					ev.Outcome = control.Refused
+				default:
+					ev.Outcome = control.Unknown
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.Rent:
+		n.spawn(func() {
+			ev := control.RentBack{Rental: e.Rental, Outcome: control.Unknown}
+			if n.cloud.Wait(n.ctx) == nil && may() {
+				names, full, err := n.cloud.Rent(e.Rental)
+				switch {
+				case full:
+					ev.Outcome = control.Refused
+				case err == nil:
+					ev.Outcome, ev.Machines = control.OK, names
+				default:
+					n.log.Debug("rental not answered", "request", e.Rental.Name, "err", err)
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.Return:
+		names := append([]string(nil), e.Machines...)
+		n.spawn(func() {
+			ev := control.ReturnBack{Machines: names, Outcome: control.Unknown}
+			if n.cloud.Wait(n.ctx) == nil && may() {
+				if err := n.cloud.Return(names); err == nil {
+					ev.Outcome = control.OK
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.List:
+		n.spawn(func() {
+			asked := time.Now()
+			list, err := n.cloud.List(n.ctx)
+			if err != nil {
+				n.log.Debug("machine list", "err", err)
+			}
+			n.back(term, control.ListIn{Machines: list, Asked: asked})
+		})
+	case control.Catalog:
+		n.spawn(func() {
+			types, err := n.cloud.Catalog(n.ctx)
+			if err != nil {
+				n.log.Debug("catalogue", "err", err)
+			} else {
+				n.types.Store(&types)
+			}
+			n.back(term, control.CatalogIn{Types: types})
+		})
+	case control.Commit:
+		saves := append([]control.Save(nil), e.Saves...)
+		n.spawn(func() {
+			ev := control.SaveBack{Saves: saves, Outcome: control.OK}
+			ok, err := n.state.Save(n.ctx, r.version, saves)
+			switch {
+			case errors.Is(err, store.ErrNotExecuted):
+				ev.Outcome = control.NotSent
+			case err != nil:
+				ev.Outcome = control.Unknown
+			case !ok:
+				ev.Outcome = control.Refused
+				if last, err := n.state.StillLast(n.ctx, r.version); err != nil {
+					ev.Outcome = control.Unknown
+				} else if !last {
+					n.election(election.Fenced{Token: r.token})
+				}
+			}
+			n.back(term, ev)
+		})
+	}
+}
+
+// jobsChanged queues changes of the job records for the loop. The view is locked
+// while it tells of them, and the loop asks it: so nothing is waited for here.
+func (n *Node) jobsChanged(changes []store.JobChange) {
+	if len(changes) == 0 {
+		return
+	}
+	n.changeMu.Lock()
+	n.changes = append(n.changes, changes...)
+	n.changeMu.Unlock()
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// applyChanges tells the core of changes of the job records. What counts is the
+// view as it is now: a job that has ended since must not come up again.
+func (n *Node) applyChanges(now time.Time) {
+	n.changeMu.Lock()
+	changes := n.changes
+	n.changes = nil
+	n.changeMu.Unlock()
+	for _, ch := range changes {
+		if v := n.jobs.Peek(ch.ID); v.Spec != nil {
+			n.step(now, control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
+		} else {
+			n.step(now, control.JobEnded{ID: ch.ID})
+		}
+	}
+}
+
+// fetchTypes keeps the machine types known, which users' requests are checked
+// against.
+func (n *Node) fetchTypes() error {
+	for n.ctx.Err() == nil {
+		wait := time.Second
+		if len(n.Types()) > 0 {
+			wait = 5 * time.Minute
+		}
+		if types, err := n.cloud.Catalog(n.ctx); err == nil {
+			n.types.Store(&types)
+			wait = 5 * time.Minute
+		} else {
+			n.log.Debug("catalogue", "err", err)
+		}
+		store.Wait(n.ctx, wait)
+	}
+	return nil
+}
+
+// --- what the front asks
+
+// Report hands a worker's report to the core.
+func (n *Node) Report(ctx context.Context, r *model.Report) front.Verdict {
+	leader := ""
+	if p := n.leader.Load(); p != nil {
+		leader = *p
+	}
+	if cur := n.right.Load(); !cur.holds() {
+		return front.Verdict{Act: leader == n.plat.Member, Leader: leader, Valid: never}
+	}
+	answer := make(chan front.Verdict, 1)
+	f := func(now time.Time) {
+		cur := n.right.Load()
+		if n.core == nil || !cur.holds() || ctx.Err() != nil {
+			answer <- front.Verdict{Act: true, Valid: never}
+			return
+		}
+		v := front.Verdict{Act: true, Token: cur.token, Valid: func() bool {
+			r := n.right.Load()
+			return r != nil && r.token == cur.token && r.holds()
+		}}
+		for _, e := range n.step(now, control.ReportIn{Report: r}) {
+			if a, ok := e.(control.Answer); ok {
+				v.Orders = a.Orders
+			}
+		}
+		answer <- v
+	}
+	select {
+	case n.inbox <- f:
+	case <-ctx.Done():
+		return front.Verdict{Act: true, Valid: never}
+	}
+	select {
+	case v := <-answer:
+		return v
+	case <-ctx.Done():
+		return front.Verdict{Act: true, Valid: never}
+	}
+}
+
+func never() bool { return false }
+
+// Progress tells how far an unfinished job is.
+func (n *Node) Progress(id string) (done, running int) {
+	if p := n.progress.Load(); p != nil {
+		v := (*p)[id]
+		return v[0], v[1]
+	}
+	return 0, 0
+}
+
+// Types are the machine types.
+func (n *Node) Types() []model.MachineType {
+	if p := n.types.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// Team finds a team.
+func (n *Node) Team(name string) *model.Team { return n.teams[name] }
+
+// Healthy tells whether this controller can take requests.
+func (n *Node) Healthy() bool { return n.jobs.Loaded() && len(n.Types()) > 0 }
+
+// StateDown tells since when the state service has not answered.
+func (n *Node) StateDown() time.Duration { return n.state.Health.Down(time.Now()) }
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,120 @@
+// Package rpc is the common part of the clients of the outside services: one
+// request over HTTP with a MessagePack body, within a time, with a clear word
+// on whether a failed request can still be carried out.
+package rpc
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrNotSent marks a request that did not reach the other side and never will:
+// a connection attempt that was given up does not complete afterwards.
+var ErrNotSent = errors.New("not sent")
+
+// StatusError is an answer other than 200.
+type StatusError struct {
+	Status int
+	Body   []byte
+}
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// Status returns the status of an answer other than 200, or 0.
+func Status(err error) int {
+	var s *StatusError
+	if errors.As(err, &s) {
+		return s.Status
+	}
+	return 0
+}
+
+// Client sends requests to one address.
+type Client struct {
+	hc *fasthttp.HostClient
+}
+
+// dialTimeout bounds how long a connection may take to come about.
+const dialTimeout = time.Second
+
+// New makes a client for an address with up to conns connections.
+func New(addr string, conns int) *Client {
+	return &Client{hc: &fasthttp.HostClient{
+		Addr:                          addr,
+		MaxConns:                      conns,
+		MaxIdleConnDuration:           20 * time.Second,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: true,
+		MaxConnWaitTimeout:            500 * time.Millisecond,
+		Dial:                          dial,
+	}}
+}
+
+func dial(addr string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp4", addr, dialTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return c, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.hc.CloseIdleConnections() }
+
+// Call sends a request and returns the body of a 200. Any other answer is a
+// *StatusError.
+func (c *Client) Call(method, uri string, body []byte, timeout time.Duration) ([]byte, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(method)
+	req.URI().DisablePathNormalizing = true
+	req.SetRequestURI("http://" + c.hc.Addr + uri)
+	if body != nil {
+		req.Header.SetContentType("application/msgpack")
+		req.SetBodyRaw(body)
+	}
+	if err := c.hc.DoTimeout(req, res, timeout); err != nil {
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return nil, err
+	}
+	out := append([]byte(nil), res.Body()...)
+	if res.StatusCode() != fasthttp.StatusOK {
+		return nil, &StatusError{res.StatusCode(), out}
+	}
+	return out, nil
+}
+
+// Health keeps count of how a service has answered of late.
+type Health struct {
+	okAt, badAt atomic.Int64
+}
+
+// Note records the outcome of a request. An answer of any kind but 503 shows
+// that the service is there.
+func (h *Health) Note(err error) {
+	if err == nil || Status(err) != 0 && Status(err) != fasthttp.StatusServiceUnavailable {
+		h.okAt.Store(time.Now().UnixNano())
+	} else {
+		h.badAt.Store(time.Now().UnixNano())
+	}
+}
+
+// Down tells since when the service has not answered; 0: it answers.
+func (h *Health) Down(now time.Time) time.Duration {
+	ok, bad := h.okAt.Load(), h.badAt.Load()
+	if bad <= ok {
+		return 0
+	}
+	return now.Sub(time.Unix(0, ok))
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,398 @@
+// Package sched decides what is placed where: the order of waiting work, the
+// choice of a machine, gangs, limits, guarantees and preemption. It is pure: a
+// picture goes in, a plan comes out.
+//
+// Order and choice follow the paper's POFARE/POFAME as docs/design.md reads it.
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// Settings are the scheduler's starting values.
+type Settings struct {
+	IdleShare     float64       // power of an idle machine as a share of a busy one's
+	Overtake      time.Duration // a task without deadline passes ahead after waiting this long
+	MaxPreempt    int           // attempts that one pass may stop to make room
+	MinRun        time.Duration // an attempt younger than this is stopped last
+	PreemptWithin bool          // preempt for guarantees, not only for production
+}
+
+// Running is an attempt on a node that could be stopped to make room.
+type Running struct {
+	Attempt *model.Attempt
+	Rank    model.Rank
+	Over    bool          // its job runs beyond its team's guarantee
+	Loss    time.Duration // work that stopping it loses
+	Young   bool
+	Gang    bool
+}
+
+// Node is a machine as the scheduler sees it.
+type Node struct {
+	Machine  *model.Machine
+	Free     model.Resources
+	Freeing  model.Resources // held by attempts that were told to stop
+	Reserved model.Resources // of GPU machines: room that tasks without GPU leave free
+	Victims  []Running
+	claimed  model.Resources // of Freeing, promised to wants that go first
+	full     bool
+}
+
+// Want is a number of tasks of one job that wait.
+type Want struct {
+	Job        *model.Job
+	Restart    bool
+	Count      int
+	Slack      time.Duration // for jobs with a deadline
+	Waited     time.Duration
+	Guaranteed bool           // the job fits into its team's guarantee
+	Zones      map[string]int // tasks that may be in each zone already
+	Cap        int            // how many may be started in this pass, by what else limits them
+	NewOnly    bool
+}
+
+// Placement starts one task of a want on a machine.
+type Placement struct {
+	Want *Want
+	Node *Node
+}
+
+// Shortage is the part of a want that fits nowhere.
+type Shortage struct {
+	Want    *Want
+	Count   int
+	Limited bool // kept back by its team's limit
+}
+
+// Plan is what a pass decides.
+type Plan struct {
+	Place   []Placement
+	Stop    []Running
+	Lacking []Shortage
+}
+
+// Picture is what a pass decides from.
+type Picture struct {
+	Nodes []*Node
+	Wants []*Want
+	Used  map[string]model.Resources // by team, of all that may be on machines
+	Teams map[string]*model.Team
+	Zones []string
+}
+
+// tier bounds the design's order by the users' ranks and guarantees: production
+// first, then what its team's guarantee covers, then the rest.
+func (w *Want) tier() int {
+	switch {
+	case w.Job.Spec.Rank == model.Production:
+		return 0
+	case w.Guaranteed:
+		return 1
+	}
+	return 2
+}
+
+// lane is the design's order inside a tier: restarts second (moves off a
+// machine come as restarts), new tasks third; tasks without deadlines behind,
+// unless they have waited long enough to pass ahead; negative slack last.
+func (w *Want) lane(s *Settings) int {
+	deadline := w.Job.Spec.Deadline > 0
+	switch {
+	case !deadline && w.Waited >= s.Overtake:
+		return 0
+	case deadline && w.Slack < 0:
+		return 4
+	case w.Restart && deadline:
+		return 1
+	case deadline:
+		return 2
+	case w.Restart:
+		return 3
+	}
+	return 3
+}
+
+// Order sorts wants into the order in which they are served.
+func Order(s *Settings, wants []*Want) {
+	slices.SortStableFunc(wants, func(a, b *Want) int {
+		la, lb := a.lane(s), b.lane(s)
+		if c := cmp.Or(cmp.Compare(a.tier(), b.tier()), cmp.Compare(la, lb)); c != 0 {
+			return c
+		}
+		if la == 1 || la == 2 || la == 4 {
+			return cmp.Or(cmp.Compare(a.Slack, b.Slack), cmp.Compare(b.Waited, a.Waited))
+		}
+		return cmp.Or(cmp.Compare(b.Job.Spec.Rank, a.Job.Spec.Rank), cmp.Compare(b.Waited, a.Waited))
+	})
+}
+
+// Efficiency is the power efficiency of a machine with a busy share u: work per
+// power, where an idle machine draws idle of a busy one's power.
+func Efficiency(u, idle float64) float64 {
+	if u <= 0 {
+		return 0
+	}
+	return u / (idle + (1-idle)*u)
+}
+
+// share is the busy share of a machine: the larger of its CPUs' and its GPUs'.
+func share(m *model.Machine, used model.Resources) float64 {
+	u := used.CPU / m.Type.Cap.CPU
+	if m.Type.Cap.GPU > 0 {
+		u = max(u, used.GPU/m.Type.Cap.GPU)
+	}
+	return u
+}
+
+// Make decides one pass.
+func Make(s *Settings, p *Picture) *Plan {
+	plan := &Plan{}
+	Order(s, p.Wants)
+	stops := s.MaxPreempt
+	for _, w := range p.Wants {
+		spec := w.Job.Spec
+		n := min(w.Count, w.Cap)
+		team := p.Teams[spec.Team]
+		if team == nil {
+			continue
+		}
+		room := spec.Need.CountIn(model.Resources{CPU: team.Limit.CPU - p.Used[spec.Team].CPU,
+			GPU: team.Limit.GPU - p.Used[spec.Team].GPU, MemGB: 1e15})
+		limited := room < n
+		if spec.Shape != model.Array && limited && w.Count == spec.Tasks {
+			plan.Lacking = append(plan.Lacking, Shortage{w, n, true})
+			continue
+		}
+		n = min(n, room)
+		if n <= 0 {
+			plan.Lacking = append(plan.Lacking, Shortage{w, w.Count, limited})
+			continue
+		}
+		placed := p.place(s, plan, w, n)
+		lack := n - placed
+		if lack > 0 && (w.tier() == 0 || s.PreemptWithin && w.tier() == 1) {
+			p.preempt(plan, w, lack, &stops)
+		}
+		if lack > 0 {
+			plan.Lacking = append(plan.Lacking, Shortage{w, lack, false})
+		}
+	}
+	return plan
+}
+
+// place puts up to n tasks of a want on machines and tells how many.
+func (p *Picture) place(s *Settings, plan *Plan, w *Want, n int) int {
+	spec := w.Job.Spec
+	zones := []string{spec.Zone}
+	if spec.OneZone && spec.Zone == "" {
+		if zones = held(w.Zones); len(zones) == 0 {
+			zones = p.Zones
+		}
+	}
+	if !spec.OneZone && spec.Shape != model.Gang {
+		got := p.fill(s, w, n, spec.Zone)
+		p.commit(plan, w, got)
+		return len(got)
+	}
+	var best []*Node
+	for _, z := range zones {
+		got := p.fill(s, w, n, z)
+		p.undo(w, got)
+		if len(got) > len(best) {
+			best = got
+		}
+	}
+	if spec.Shape == model.Gang && len(best) < n {
+		return 0
+	}
+	for _, nd := range best {
+		p.take(w, nd)
+	}
+	p.commit(plan, w, best)
+	return len(best)
+}
+
+func held(zones map[string]int) []string {
+	var out []string
+	for z, n := range zones {
+		if n > 0 {
+			out = append(out, z)
+		}
+	}
+	return out
+}
+
+func (p *Picture) take(w *Want, nd *Node) {
+	nd.Free = nd.Free.Sub(w.Job.Spec.Need)
+	w.Zones[nd.Machine.Zone]++
+}
+
+func (p *Picture) undo(w *Want, nodes []*Node) {
+	for _, nd := range nodes {
+		nd.Free = nd.Free.Add(w.Job.Spec.Need)
+		w.Zones[nd.Machine.Zone]--
+	}
+}
+
+func (p *Picture) commit(plan *Plan, w *Want, nodes []*Node) {
+	spec := w.Job.Spec
+	for _, nd := range nodes {
+		plan.Place = append(plan.Place, Placement{w, nd})
+	}
+	p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(len(nodes)))
+}
+
+// Allowed tells whether a job may use a machine at all.
+func Allowed(spec *model.Spec, m *model.Machine, zone string) bool {
+	return (zone == "" || m.Zone == zone) && (spec.Zone == "" || m.Zone == spec.Zone) &&
+		(spec.Spot || !m.Spot) && spec.AllowsType(m.Type.Name) && spec.Need.Fits(m.Type.Cap)
+}
+
+// fill chooses machines for up to n tasks, one by one: of those that fit, the
+// one whose power efficiency after placement is highest; where that is equal,
+// one that has the image.
+func (p *Picture) fill(s *Settings, w *Want, n int, zone string) []*Node {
+	spec := w.Job.Spec
+	var fits []*Node
+	for _, nd := range p.Nodes {
+		if Allowed(spec, nd.Machine, zone) && spec.Need.Fits(p.room(nd, spec)) && w.Job.ErrorOn[nd.Machine.Name] == 0 {
+			fits = append(fits, nd)
+		}
+	}
+	var got []*Node
+	for len(got) < n {
+		var best *Node
+		var bestEff float64
+		var bestImage bool
+		for _, nd := range fits {
+			if !spec.Need.Fits(p.room(nd, spec)) || spec.Spread && w.Zones[nd.Machine.Zone] >= spec.ZoneCap() {
+				continue
+			}
+			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
+			eff := Efficiency(share(nd.Machine, used), s.IdleShare)
+			_, image := nd.Machine.Images[spec.Image]
+			if best == nil || eff > bestEff+1e-9 || eff > bestEff-1e-9 && image && !bestImage {
+				best, bestEff, bestImage = nd, eff, image
+			}
+		}
+		if best == nil {
+			break
+		}
+		p.take(w, best)
+		got = append(got, best)
+	}
+	return got
+}
+
+// room is what a job may take of a node: tasks without GPU leave the part that
+// is reserved for GPU work.
+func (p *Picture) room(nd *Node, spec *model.Spec) model.Resources {
+	if spec.Need.GPU > 0 || nd.Machine.Type.Cap.GPU == 0 {
+		return nd.Free
+	}
+	return nd.Free.Sub(nd.Reserved)
+}
+
+// preempt makes room for tasks that fit nowhere: first it claims what is being
+// freed already, then it stops what loses least among the attempts that may be
+// stopped for this want.
+func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int) {
+	spec := w.Job.Spec
+	if spec.Shape == model.Gang && spec.Tasks > 1 {
+		return
+	}
+	zones := map[string]int{}
+	for z, n := range w.Zones {
+		zones[z] = n
+	}
+	lock := ""
+	if spec.OneZone {
+		if h := held(zones); len(h) > 0 {
+			lock = h[0]
+		}
+	}
+	for ; lack > 0; lack-- {
+		var best *Node
+		var bestSet []int
+		var bestLoss time.Duration
+		for _, nd := range p.Nodes {
+			if !Allowed(spec, nd.Machine, lock) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() {
+				continue
+			}
+			free := p.room(nd, spec).Add(nd.Freeing).Sub(nd.claimed)
+			if spec.Need.Fits(free) {
+				best, bestSet = nd, nil
+				break
+			}
+			set, loss, ok := victims(nd, w, free, *stops)
+			if ok && (best == nil || loss < bestLoss) {
+				best, bestSet, bestLoss = nd, set, loss
+			}
+		}
+		if best == nil {
+			return
+		}
+		for _, i := range bestSet {
+			v := best.Victims[i]
+			plan.Stop = append(plan.Stop, v)
+			best.Freeing = best.Freeing.Add(v.Attempt.Need)
+			*stops--
+		}
+		slices.Sort(bestSet)
+		for k := len(bestSet) - 1; k >= 0; k-- {
+			best.Victims = slices.Delete(best.Victims, bestSet[k], bestSet[k]+1)
+		}
+		// What is free now is claimed too, so that nobody behind takes it.
+		take := model.Resources{CPU: min(spec.Need.CPU, max(best.Free.CPU, 0)), GPU: min(spec.Need.GPU, max(best.Free.GPU, 0)),
+			MemGB: min(spec.Need.MemGB, max(best.Free.MemGB, 0))}
+		best.Free = best.Free.Sub(take)
+		best.claimed = best.claimed.Add(spec.Need.Sub(take))
+		zones[best.Machine.Zone]++
+		if spec.OneZone {
+			lock = best.Machine.Zone
+		}
+	}
+}
+
+// victims chooses attempts on a node whose end makes room for one task.
+func victims(nd *Node, w *Want, free model.Resources, most int) ([]int, time.Duration, bool) {
+	spec := w.Job.Spec
+	var may []int
+	for i, v := range nd.Victims {
+		if v.Rank < spec.Rank || w.Guaranteed && v.Over && v.Attempt.Team != spec.Team {
+			may = append(may, i)
+		}
+	}
+	slices.SortStableFunc(may, func(a, b int) int {
+		return cmp.Compare(cost(nd.Victims[a]), cost(nd.Victims[b]))
+	})
+	var set []int
+	var loss time.Duration
+	for _, i := range may {
+		if spec.Need.Fits(free) || len(set) >= most {
+			break
+		}
+		set = append(set, i)
+		free = free.Add(nd.Victims[i].Attempt.Need)
+		loss += cost(nd.Victims[i])
+	}
+	return set, loss, spec.Need.Fits(free) && len(set) > 0
+}
+
+// cost is what stopping an attempt loses, with a start that would not have
+// counted weighed in.
+func cost(v Running) time.Duration {
+	c := v.Loss + 5*time.Second + time.Duration(v.Rank)*5*time.Second
+	if v.Young {
+		c += 30 * time.Second
+	}
+	if v.Gang {
+		c += time.Minute
+	}
+	return c
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,195 @@
+// Package store is the client of the state service.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"github.com/glentiller/glentiller/internal/rpc"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// The errors that callers tell apart. Any other error of Commit means that the
+// outcome is unknown.
+var (
+	ErrNotExecuted = errors.New("not executed")
+	ErrTooOld      = errors.New("the changes since that revision are not kept any more")
+	ErrLeaseOver   = errors.New("the lease is over")
+	ErrBusy        = errors.New("the budget for requests is spent")
+)
+
+// Client talks to the state service within a budget of requests and of changes.
+type Client struct {
+	calls, watches *rpc.Client
+	reads, writes  *rate.Limiter
+	timeout        time.Duration
+	Health         rpc.Health
+}
+
+// New makes a client. The rates are this controller's share.
+func New(addr string, timeout time.Duration) *Client {
+	return &Client{calls: rpc.New(addr, 48), watches: rpc.New(addr, 8), timeout: timeout,
+		reads: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 5)}
+}
+
+// SetRates sets this controller's share of the published limits.
+func (c *Client) SetRates(requests, changes float64) {
+	c.reads.SetLimit(rate.Limit(requests))
+	c.reads.SetBurst(max(4, int(requests/2)))
+	c.writes.SetLimit(rate.Limit(changes))
+	c.writes.SetBurst(max(12, int(changes/2)))
+}
+
+// budget waits until a request with n changes is within the budget.
+func (c *Client) budget(ctx context.Context, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	err := c.reads.Wait(ctx)
+	if err == nil && n > 0 {
+		err = c.writes.WaitN(ctx, min(n, c.writes.Burst()))
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotExecuted, ErrBusy)
+	}
+	return nil
+}
+
+func (c *Client) call(method, uri string, body []byte) ([]byte, error) {
+	out, err := c.calls.Call(method, uri, body, c.timeout)
+	c.Health.Note(err)
+	return out, err
+}
+
+// Get reads one key; ok tells whether it exists.
+func (c *Client) Get(ctx context.Context, key string) (e wire.Entry, ok bool, err error) {
+	if err := c.budget(ctx, 0); err != nil {
+		return e, false, err
+	}
+	out, err := c.call(fasthttp.MethodGet, "/keys/"+key, nil)
+	if rpc.Status(err) == fasthttp.StatusNotFound {
+		return e, false, nil
+	}
+	if err != nil {
+		return e, false, err
+	}
+	e, err = wire.DecodeEntry(out)
+	return e, err == nil, err
+}
+
+// List reads all keys with a prefix, and the revision that the first page
+// described: the changes after it make the list current.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	var all []wire.Entry
+	var rev uint64
+	after := ""
+	for {
+		if err := c.budget(ctx, 0); err != nil {
+			return nil, 0, err
+		}
+		uri := "/keys?prefix=" + url.QueryEscape(prefix) + "&page=1000"
+		if after != "" {
+			uri += "&after=" + url.QueryEscape(after)
+		}
+		out, err := c.call(fasthttp.MethodGet, uri, nil)
+		if err != nil {
+			return nil, 0, err
+		}
+		p, err := wire.DecodePage(out)
+		if err != nil {
+			return nil, 0, err
+		}
+		if rev == 0 {
+			rev = p.Revision
+		}
+		all = append(all, p.Entries...)
+		if !p.More || len(p.Entries) == 0 {
+			return all, rev, nil
+		}
+		after = p.Entries[len(p.Entries)-1].Key
+	}
+}
+
+// Changes returns the changes of keys with a prefix after a revision, waiting
+// for one up to the given time.
+func (c *Client) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (wire.Page, error) {
+	if err := c.budget(ctx, 0); err != nil {
+		return wire.Page{}, err
+	}
+	uri := "/changes?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10) +
+		"&waitMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	cl := c.calls
+	if wait > 0 {
+		cl = c.watches
+	}
+	out, err := cl.Call(fasthttp.MethodGet, uri, nil, wait+c.timeout)
+	if wait == 0 || err == nil || rpc.Status(err) != 0 {
+		c.Health.Note(err)
+	}
+	if rpc.Status(err) == fasthttp.StatusGone {
+		return wire.Page{}, ErrTooOld
+	}
+	if err != nil {
+		return wire.Page{}, err
+	}
+	return wire.DecodePage(out)
+}
+
+// Commit carries out a transaction. ok is false where a condition failed. An
+// error that is not ErrNotExecuted leaves open whether it was or will be
+// carried out.
+func (c *Client) Commit(ctx context.Context, t *wire.Txn, urgent bool) (rev uint64, ok bool, err error) {
+	if urgent {
+		c.reads.Allow()
+	} else if err := c.budget(ctx, len(t.Then)); err != nil {
+		return 0, false, err
+	}
+	out, err := c.call(fasthttp.MethodPost, "/commit", t.Append(nil))
+	switch {
+	case err == nil:
+		rev, err = wire.DecodeRevision(out)
+		return rev, err == nil, err
+	case rpc.Status(err) == fasthttp.StatusConflict:
+		return 0, false, nil
+	case rpc.Status(err) != 0, errors.Is(err, rpc.ErrNotSent):
+		return 0, false, fmt.Errorf("%w: %w", ErrNotExecuted, err)
+	}
+	return 0, false, err
+}
+
+// Grant asks for a lease.
+func (c *Client) Grant(life time.Duration) (uint64, error) {
+	c.reads.Allow()
+	out, err := c.call(fasthttp.MethodPost, "/grants", wire.AppendGrant(nil, uint64(life.Milliseconds())))
+	if err != nil {
+		return 0, err
+	}
+	return wire.DecodeGrant(out)
+}
+
+// Touch renews a lease. It never waits for the budget: the leader's right to
+// act hangs on it.
+func (c *Client) Touch(id uint64) error {
+	c.reads.Allow()
+	_, err := c.call(fasthttp.MethodPost, "/grants/"+strconv.FormatUint(id, 10)+"/touch", nil)
+	if rpc.Status(err) == fasthttp.StatusNotFound {
+		return ErrLeaseOver
+	}
+	return err
+}
+
+// Drop ends a lease.
+func (c *Client) Drop(id uint64) error {
+	c.reads.Allow()
+	_, err := c.call(fasthttp.MethodDelete, "/grants/"+strconv.FormatUint(id, 10), nil)
+	if rpc.Status(err) == fasthttp.StatusNotFound {
+		return nil
+	}
+	return err
+}
