--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -144,8 +144,14 @@
 	if err := d.Decode(o); err != nil {
 		return nil, err
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.New("something stands behind </glentiller>")
+	for {
+		tok, err := d.Token()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if text, ok := tok.(xml.CharData); err != nil || !ok || len(bytes.TrimSpace(text)) > 0 {
+			return nil, errors.New("something stands behind </glentiller>")
+		}
 	}
 	for _, s := range []struct {
 		name string
