Keep machines that GPU work needs free of anything else

Cause: a few two-CPU tasks held four 8-GPU machines at all times, so those never stood empty and were never returned. A status line every 10 s shows waiting, live and machines.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -86,6 +86,7 @@
 	listAt    time.Time
 	catalogAt time.Time
 	sweepAt   time.Time
+	statusAt  time.Time
 	listing   bool
 	catalogs  bool
 	resumeAt  time.Time // no machine counts as silent before this
@@ -197,6 +198,10 @@
 		c.sweep(now)
 		c.sweepAt = now.Add(250 * time.Millisecond)
 	}
+	if !now.Before(c.statusAt) {
+		c.status(now)
+		c.statusAt = now.Add(10 * time.Second)
+	}
 	if c.dirty && !now.Before(c.lastPass.Add(c.set.Pass)) {
 		c.pass(now)
 	}
@@ -420,3 +425,27 @@
 	c.hires++
 	return fmt.Sprintf("%s-%d-%d", c.set.Member, c.token, c.hires)
 }
+
+// status writes a summary of the picture to the log.
+func (c *Core) status(now time.Time) {
+	var states [model.Gone + 1]int
+	var total, used model.Resources
+	for _, m := range c.machines {
+		states[m.State]++
+		if m.State == model.Ready {
+			total = total.Add(m.Type.Cap)
+			used = used.Add(m.Used)
+		}
+	}
+	waiting, live := map[string]int{}, map[string]int{}
+	for _, j := range c.jobs {
+		if n := j.Count(model.TaskNew) + j.Count(model.TaskRestart); n > 0 {
+			waiting[j.Spec.Class] += n
+		}
+		if n := len(j.Live); n > 0 {
+			live[j.Spec.Class] += n
+		}
+	}
+	c.log.Info("status", "jobs", len(c.jobs), "waiting", waiting, "live", live, "ready", states[model.Ready], "booting", states[model.Booting],
+		"draining", states[model.Draining], "unsettled", c.unsure, "cpus", total.CPU, "cpus_used", used.CPU, "gpus", total.GPU, "gpus_used", used.GPU)
+}
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -110,10 +110,7 @@
 			}
 		}
 		if open {
-			nd.Reserved = c.reserve(m.Type, m.Spot)
-			if nd.Reserved.GPU > nd.Free.GPU+1e-6 {
-				nd.Reserved = model.Resources{} // the GPU work is there already
-			}
+			nd.ForGPU = c.forGPU(m.Type, m.Spot)
 			p.Nodes = append(p.Nodes, nd)
 		}
 	}
@@ -203,19 +200,19 @@
 	return s.Rank == model.Production || guaranteed
 }
 
-// reserve is what tasks without GPU leave free on a machine with GPUs: the
-// largest GPU request of late that fits it.
-func (c *Core) reserve(t *model.MachineType, spot bool) model.Resources {
-	var most model.Resources
+// forGPU tells whether machines of a kind are kept for GPU work: such work was
+// seen that fits them. Spot machines are not, since GPU work that may use them
+// is rare, and they are the cheapest CPUs that there are.
+func (c *Core) forGPU(t *model.MachineType, spot bool) bool {
 	if spot || t.Cap.GPU == 0 {
-		return most
+		return false
 	}
 	for need := range c.gpuNeed {
-		if need.Fits(t.Cap) && need.GPU >= most.GPU {
-			most = model.Resources{CPU: max(most.CPU, need.CPU), GPU: need.GPU, MemGB: max(most.MemGB, need.MemGB)}
+		if need.Fits(t.Cap) {
+			return true
 		}
 	}
-	return most
+	return false
 }
 
 // rent asks for machines for what fits nowhere.
@@ -223,7 +220,7 @@
 	if len(lacking) == 0 {
 		return
 	}
-	v := &fleet.View{Types: c.types, Coming: coming, Refused: c.refused, Count: map[string]int{}, Reserve: c.reserve}
+	v := &fleet.View{Types: c.types, Coming: coming, Refused: c.refused, Count: map[string]int{}, ForGPU: c.forGPU}
 	for _, m := range c.machines {
 		v.Count[m.Zone]++
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,17 +59,17 @@
 type View struct {
 	Types   []model.MachineType
 	Coming  []*Coming
-	Refused map[Offer]time.Time                                   // not before
-	Count   map[string]int                                        // machines by zone, to spread over zones
-	Reserve func(t *model.MachineType, spot bool) model.Resources // kept for GPU work
+	Refused map[Offer]time.Time                        // not before
+	Count   map[string]int                             // machines by zone, to spread over zones
+	ForGPU  func(t *model.MachineType, spot bool) bool // machines that are kept for GPU work
 }
 
 // price is what one task costs an hour on a machine of the type, if the
 // machine is filled with tasks like it. Machines that GPU work needs are not
 // rented for anything else.
-func price(spec *model.Spec, t *model.MachineType, spot bool, reserve model.Resources) (float64, int) {
+func price(spec *model.Spec, t *model.MachineType, spot, forGPU bool) (float64, int) {
 	n := spec.Need.CountIn(t.Cap)
-	if n == 0 || spec.Need.GPU == 0 && reserve.GPU > 0 {
+	if n == 0 || spec.Need.GPU == 0 && forGPU {
 		return 0, 0
 	}
 	p := t.Price
@@ -155,11 +155,10 @@
 		if c.Spot && !spec.Spot || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
 			continue
 		}
-		free := c.free
-		if spec.Need.GPU == 0 && c.Type.Cap.GPU > 0 {
-			free = free.Sub(v.Reserve(c.Type, c.Spot))
+		if spec.Need.GPU == 0 && v.ForGPU(c.Type, c.Spot) {
+			continue
 		}
-		if !spec.Need.Fits(free) || spec.Spread && zones[c.Zone] >= spec.ZoneCap() {
+		if !spec.Need.Fits(c.free) || spec.Spread && zones[c.Zone] >= spec.ZoneCap() {
 			continue
 		}
 		c.free = c.free.Sub(spec.Need)
@@ -186,7 +185,7 @@
 			if spot && !spec.Spot {
 				continue
 			}
-			p, per := price(spec, t, spot, v.Reserve(t, spot))
+			p, per := price(spec, t, spot, v.ForGPU(t, spot))
 			if per == 0 {
 				continue
 			}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -34,13 +34,13 @@
 
 // Node is a machine as the scheduler sees it.
 type Node struct {
-	Machine  *model.Machine
-	Free     model.Resources
-	Freeing  model.Resources // held by attempts that were told to stop
-	Reserved model.Resources // of GPU machines: room that tasks without GPU leave free
-	Victims  []Running
-	claimed  model.Resources // of Freeing, promised to wants that go first
-	full     bool
+	Machine *model.Machine
+	Free    model.Resources
+	Freeing model.Resources // held by attempts that were told to stop
+	ForGPU  bool            // kept for GPU work: tasks without GPU stay off it
+	Victims []Running
+	claimed model.Resources // of Freeing, promised to wants that go first
+	full    bool
 }
 
 // Want is a number of tasks of one job that wait.
@@ -260,7 +260,7 @@
 	spec := w.Job.Spec
 	var fits []*Node
 	for _, nd := range p.Nodes {
-		if Allowed(spec, nd.Machine, zone) && spec.Need.Fits(p.room(nd, spec)) && w.Job.ErrorOn[nd.Machine.Name] == 0 {
+		if Allowed(spec, nd.Machine, zone) && !nd.kept(spec) && spec.Need.Fits(nd.Free) && w.Job.ErrorOn[nd.Machine.Name] == 0 {
 			fits = append(fits, nd)
 		}
 	}
@@ -270,7 +270,7 @@
 		var bestEff float64
 		var bestImage bool
 		for _, nd := range fits {
-			if !spec.Need.Fits(p.room(nd, spec)) || spec.Spread && w.Zones[nd.Machine.Zone] >= spec.ZoneCap() {
+			if !spec.Need.Fits(nd.Free) || spec.Spread && w.Zones[nd.Machine.Zone] >= spec.ZoneCap() {
 				continue
 			}
 			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
@@ -289,14 +289,9 @@
 	return got
 }
 
-// room is what a job may take of a node: tasks without GPU leave the part that
-// is reserved for GPU work.
-func (p *Picture) room(nd *Node, spec *model.Spec) model.Resources {
-	if spec.Need.GPU > 0 || nd.Machine.Type.Cap.GPU == 0 {
-		return nd.Free
-	}
-	return nd.Free.Sub(nd.Reserved)
-}
+// kept tells whether a machine is kept for GPU work, which this job is not.
+// Guards against a few small tasks that hold the dearest machines for hours.
+func (nd *Node) kept(spec *model.Spec) bool { return nd.ForGPU && spec.Need.GPU == 0 }
 
 // preempt makes room for tasks that fit nowhere: first it claims what is being
 // freed already, then it stops what loses least among the attempts that may be
@@ -321,10 +316,10 @@
 		var bestSet []int
 		var bestLoss time.Duration
 		for _, nd := range p.Nodes {
-			if !Allowed(spec, nd.Machine, lock) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() {
+			if !Allowed(spec, nd.Machine, lock) || nd.kept(spec) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() {
 				continue
 			}
-			free := p.room(nd, spec).Add(nd.Freeing).Sub(nd.claimed)
+			free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
 			if spec.Need.Fits(free) {
 				best, bestSet = nd, nil
 				break
