--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -255,7 +255,8 @@
 
 // fill chooses machines for up to n tasks, one by one: of those that fit, the
 // one whose power efficiency after placement is highest; where that is equal,
-// one that has the image.
+// one that has the image. Production goes to a machine that has the image first:
+// its users wait for the fetch.
 func (p *Picture) fill(s *Settings, w *Want, n int, zone string) []*Node {
 	spec := w.Job.Spec
 	var fits []*Node
@@ -276,7 +277,11 @@
 			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
 			eff := Efficiency(share(nd.Machine, used), s.IdleShare)
 			_, image := nd.Machine.Images[spec.Image]
-			if best == nil || eff > bestEff+1e-9 || eff > bestEff-1e-9 && image && !bestImage {
+			better := eff > bestEff+1e-9 || eff > bestEff-1e-9 && image && !bestImage
+			if spec.Rank == model.Production && image != bestImage {
+				better = image
+			}
+			if best == nil || better {
 				best, bestEff, bestImage = nd, eff, image
 			}
 		}
@@ -325,6 +330,9 @@
 				break
 			}
 			set, loss, ok := victims(nd, w, free, *stops)
+			if _, image := nd.Machine.Images[spec.Image]; !image {
+				loss += fetchLoss
+			}
 			if ok && (best == nil || loss < bestLoss) {
 				best, bestSet, bestLoss = nd, set, loss
 			}
@@ -354,12 +362,18 @@
 	}
 }
 
+// fetchLoss is what the fetch of an image weighs against work that is lost.
+const fetchLoss = 30 * time.Second
+
 // victims chooses attempts on a node whose end makes room for one task.
 func victims(nd *Node, w *Want, free model.Resources, most int) ([]int, time.Duration, bool) {
 	spec := w.Job.Spec
 	var may []int
 	for i, v := range nd.Victims {
-		if v.Rank < spec.Rank || w.Guaranteed && v.Over && v.Attempt.Team != spec.Team {
+		// Production is never stopped for a guarantee: it goes first in the order,
+		// so it would take the place back at once, and the two would stop each
+		// other in turns.
+		if v.Rank < spec.Rank || w.Guaranteed && v.Over && v.Attempt.Team != spec.Team && v.Rank < model.Production {
 			may = append(may, i)
 		}
 	}
