--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -23,10 +23,10 @@
 	}
 	chunk := int(d.State.ValueKB*1024*valueShare) / 2 * 8
 	return control.Settings{
-		Member: p.Member, Teams: p.Teams(), Zones: d.Zones,
+		Member: p.Member, Teams: p.Teams(), Zones: d.Zones, Aims: aims(d.Objectives),
 		Report: Seconds(d.Workers.Report), Lease: Seconds(d.Workers.Lease), GangWait: Seconds(d.Workers.GangWait),
 		GangPeer: Seconds(d.Workers.GangPeer), Cancel: Seconds(d.Workers.Cancel), ListLag: Seconds(d.Cloud.ListLag),
-		Sched: sched.Settings{IdleShare: o.Scheduler.IdlePower, Overtake: o.Scheduler.Overtake.D(), MaxPreempt: o.Scheduler.PreemptMost,
+		Sched: sched.Settings{IdleShare: o.Scheduler.IdlePower, Overtake: o.Scheduler.Overtake.D(), OvertakeLate: o.Scheduler.OvertakeLate.D(), MaxPreempt: o.Scheduler.PreemptMost,
 			MinRun: o.Scheduler.MinRun.D(), PreemptWithin: o.Scheduler.PreemptGuarantees},
 		Fleet: fleet.Settings{KeepIdle: o.Fleet.KeepIdle.D(), KeepBoots: o.Fleet.KeepBoots, BootFactor: o.Fleet.BootFactor,
 			BootExtra: o.Fleet.BootExtra.D(), Refused: o.Fleet.Refused.D(), MaxRent: 50},
@@ -43,3 +43,23 @@
 	return election.Settings{Member: p.Member, Life: o.Leadership.Lease.D(), Margin: o.Leadership.Margin.D(),
 		Look: o.Leadership.Look.D(), Retry: o.Leadership.Retry.D()}
 }
+
+// aims sorts out which objectives the order of waiting work depends on.
+func aims(objectives []Objective) map[string][]control.Aim {
+	out := map[string][]control.Aim{}
+	for _, o := range objectives {
+		var a control.Aim
+		switch o.Kind {
+		case "wait":
+			a.Start = Seconds(o.Within)
+		case "finished":
+			a.Finish = Seconds(o.Within)
+		case "deadline":
+			a.Times = o.Times
+		}
+		if o.Class != "" && a != (control.Aim{}) {
+			out[o.Class] = append(out[o.Class], a)
+		}
+	}
+	return out
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -69,6 +69,7 @@
 type Scheduler struct {
 	IdlePower         float64  `xml:"idle-power"`
 	Overtake          Duration `xml:"overtake"`
+	OvertakeLate      Duration `xml:"overtake-late"`
 	Pass              Duration `xml:"pass"`
 	Flush             Duration `xml:"flush"`
 	PreemptGuarantees bool     `xml:"preempt-for-guarantees"`
@@ -115,7 +116,7 @@
 	s := func(v float64) Duration { return Duration(v * float64(time.Second)) }
 	return &Operator{
 		Leadership: Leadership{Lease: s(4), Margin: s(0.2), Look: s(2), Retry: s(0.25)},
-		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16,
+		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), OvertakeLate: s(900), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16,
 			MinRun: s(30), Backoff: s(4), BackoffMost: s(60)},
 		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), List: s(5), Catalog: s(60)},
 		Workers: Workers{LeaseMargin: s(0.5), SilentShare: 0.34, SickErrors: 2, DirectWait: s(1.5),
@@ -184,6 +185,7 @@
 	span("leadership/retry", o.Leadership.Retry, 20*time.Millisecond, 10*time.Second)
 	number("scheduler/idle-power", o.Scheduler.IdlePower, 0, 1)
 	span("scheduler/overtake", o.Scheduler.Overtake, 0, 24*time.Hour)
+	span("scheduler/overtake-late", o.Scheduler.OvertakeLate, o.Scheduler.Overtake.D(), 7*24*time.Hour)
 	span("scheduler/pass", o.Scheduler.Pass, time.Millisecond, 10*time.Second)
 	span("scheduler/flush", o.Scheduler.Flush, 10*time.Millisecond, 2*time.Second)
 	number("scheduler/preempt-most", float64(o.Scheduler.PreemptMost), 0, 10_000)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -15,6 +15,7 @@
 	Member string
 	Teams  []model.Team
 	Zones  []string
+	Aims   map[string][]Aim // by class
 
 	Report, Lease, GangWait, GangPeer, Cancel time.Duration // of the workers
 	ListLag                                   time.Duration
@@ -37,6 +38,14 @@
 	ChunkTasks   int // tasks in a chunk of the finished-task record
 }
 
+// Aim is what users expect of a class of jobs, as far as the order of waiting
+// work depends on it.
+type Aim struct {
+	Start  time.Duration // tasks are to start within this; 0: not this kind
+	Finish time.Duration // jobs are to be done within this; 0: not this kind
+	Times  float64       // jobs are to be done by this many times their deadline; 0: not this kind
+}
+
 // drift bounds how far the steady clocks of two machines part.
 const drift = 0.001
 
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -174,10 +174,6 @@
 	for _, a := range j.Live {
 		zones[a.Machine.Zone]++
 	}
-	slack := time.Duration(0)
-	if s.Deadline > 0 {
-		slack = j.At.Add(s.Deadline).Sub(now) - s.Estimate
-	}
 	if s.Shape == model.Gang {
 		restart := j.Count(model.TaskRestart) > 0
 		// All tasks of a gang start together, so they wait in one state.
@@ -187,13 +183,15 @@
 			}
 		}
 		n := j.Unfinished()
-		p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: restart, Count: n, Cap: n, Slack: slack,
+		slack, due := c.slack(now, j, restart)
+		p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: restart, Count: n, Cap: n, Slack: slack, Due: due,
 			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
 		return s.Rank == model.Production || guaranteed
 	}
 	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew} {
 		if n := j.Count(st); n > 0 {
-			p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack,
+			slack, due := c.slack(now, j, st == model.TaskRestart)
+			p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack, Due: due,
 				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
 		}
 	}
@@ -215,6 +213,37 @@
 	return false
 }
 
+// slack is the time that a job's waiting tasks have left: to the next of its
+// dates that can still be met, less the estimated run time. Dates are the job's
+// deadline and what users expect of its class. due tells that it has any date;
+// the slack is negative once none can be met.
+func (c *Core) slack(now time.Time, j *model.Job, restart bool) (slack time.Duration, due bool) {
+	s := j.Spec
+	age := now.Sub(j.At)
+	slack = -1
+	date := func(left time.Duration) {
+		due = true
+		if left >= 0 && (slack < 0 || left < slack) {
+			slack = left
+		}
+	}
+	if s.Deadline > 0 {
+		date(s.Deadline - age - s.Estimate)
+	}
+	for _, a := range c.set.Aims[s.Class] {
+		if a.Start > 0 && !restart {
+			date(a.Start - age)
+		}
+		if a.Finish > 0 {
+			date(a.Finish - age - s.Estimate)
+		}
+		if a.Times > 0 && s.Deadline > 0 {
+			date(time.Duration(a.Times*float64(s.Deadline)) - age - s.Estimate)
+		}
+	}
+	return slack, due
+}
+
 // rent asks for machines for what fits nowhere.
 func (c *Core) rent(now time.Time, lacking []sched.Shortage, coming []*fleet.Coming) {
 	if len(lacking) == 0 {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -17,6 +17,7 @@
 type Settings struct {
 	IdleShare     float64       // power of an idle machine as a share of a busy one's
 	Overtake      time.Duration // a task without deadline passes ahead after waiting this long
+	OvertakeLate  time.Duration // and one that can meet no date any more, after this long
 	MaxPreempt    int           // attempts that one pass may stop to make room
 	MinRun        time.Duration // an attempt younger than this is stopped last
 	PreemptWithin bool          // preempt for guarantees, not only for production
@@ -48,7 +49,8 @@
 	Job        *model.Job
 	Restart    bool
 	Count      int
-	Slack      time.Duration // for jobs with a deadline
+	Due        bool          // the job has a date to meet
+	Slack      time.Duration // time left to it, less the estimated run time; negative: it cannot be met
 	Waited     time.Duration
 	Guaranteed bool           // the job fits into its team's guarantee
 	Zones      map[string]int // tasks that may be in each zone already
@@ -97,24 +99,28 @@
 	return 2
 }
 
-// lane is the design's order inside a tier: restarts second (moves off a
-// machine come as restarts), new tasks third; tasks without deadlines behind,
-// unless they have waited long enough to pass ahead; negative slack last.
+// The lanes of the design's order inside a tier.
+const (
+	laneOvertake = iota // waited so long that it passes ahead
+	laneSlack           // can still meet a date: by rising slack
+	laneAge             // has no date: by age
+	laneLate            // can meet no date any more
+)
+
+// lane puts a want into the design's order: tasks that can meet a date by
+// rising slack, tasks without one behind by age until they have waited long
+// enough to pass ahead, tasks that can meet none last. Tasks that users expect
+// to start or to finish in some time have a date too.
 func (w *Want) lane(s *Settings) int {
-	deadline := w.Job.Spec.Deadline > 0
 	switch {
-	case !deadline && w.Waited >= s.Overtake:
-		return 0
-	case deadline && w.Slack < 0:
-		return 4
-	case w.Restart && deadline:
-		return 1
-	case deadline:
-		return 2
-	case w.Restart:
-		return 3
+	case !w.Due && w.Waited >= s.Overtake, w.Due && w.Waited >= s.OvertakeLate:
+		return laneOvertake
+	case !w.Due:
+		return laneAge
+	case w.Slack < 0:
+		return laneLate
 	}
-	return 3
+	return laneSlack
 }
 
 // Order sorts wants into the order in which they are served.
@@ -124,13 +130,23 @@
 		if c := cmp.Or(cmp.Compare(a.tier(), b.tier()), cmp.Compare(la, lb)); c != 0 {
 			return c
 		}
-		if la == 1 || la == 2 || la == 4 {
+		if a.Restart != b.Restart && a.Job == b.Job {
+			return boolFirst(a.Restart)
+		}
+		if la == laneSlack {
 			return cmp.Or(cmp.Compare(a.Slack, b.Slack), cmp.Compare(b.Waited, a.Waited))
 		}
 		return cmp.Or(cmp.Compare(b.Job.Spec.Rank, a.Job.Spec.Rank), cmp.Compare(b.Waited, a.Waited))
 	})
 }
 
+func boolFirst(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
 // Efficiency is the power efficiency of a machine with a busy share u: work per
 // power, where an idle machine draws idle of a busy one's power.
 func Efficiency(u, idle float64) float64 {
