--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -130,7 +130,7 @@
 		if c := cmp.Or(cmp.Compare(a.tier(), b.tier()), cmp.Compare(la, lb)); c != 0 {
 			return c
 		}
-		if a.Restart != b.Restart && a.Job == b.Job {
+		if a.Restart != b.Restart && la == laneSlack {
 			return boolFirst(a.Restart)
 		}
 		if la == laneSlack {
