Production makes room at once on machines that hold its image

Cause: service starts waited 2-4 s for the image fetch although tasks without checkpoints, which exit at once, sat on machines that had the image.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -75,6 +75,7 @@
 	PreemptGuarantees bool     `xml:"preempt-for-guarantees"`
 	PreemptMost       int      `xml:"preempt-most"`
 	MinRun            Duration `xml:"min-run"`
+	ImageFirst        bool     `xml:"production-image-first"`
 	Backoff           Duration `xml:"backoff"`
 	BackoffMost       Duration `xml:"backoff-most"`
 	strict
@@ -116,7 +117,7 @@
 	s := func(v float64) Duration { return Duration(v * float64(time.Second)) }
 	return &Operator{
 		Leadership: Leadership{Lease: s(4), Margin: s(0.2), Look: s(2), Retry: s(0.25)},
-		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), OvertakeLate: s(900), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16,
+		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), OvertakeLate: s(900), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16, ImageFirst: true,
 			MinRun: s(30), Backoff: s(4), BackoffMost: s(60)},
 		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), List: s(5), Catalog: s(60)},
 		Workers: Workers{LeaseMargin: s(0.5), SilentShare: 0.34, SickErrors: 2, DirectWait: s(1.5),
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -180,6 +180,7 @@
 	}
 	if t.Phase == model.Running && a.Phase != model.Running {
 		a.RunningAt = now
+		c.log.Debug("attempt runs", "task", a.Task, "machine", a.Machine.Name, "after", now.Sub(a.LaunchedAt))
 	}
 	a.Phase = t.Phase
 }
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -128,7 +128,7 @@
 // victim describes an attempt that might be stopped to make room.
 func (c *Core) victim(now time.Time, a *model.Attempt, guaranteed bool) sched.Running {
 	s := a.Job.Spec
-	v := sched.Running{Attempt: a, Rank: s.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang, Young: true}
+	v := sched.Running{Attempt: a, Rank: s.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang, Young: true, Saves: s.Checkpoint > 0}
 	if !a.RunningAt.IsZero() {
 		ran := now.Sub(a.RunningAt)
 		v.Loss, v.Young = ran, ran < c.set.Sched.MinRun
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -20,6 +20,7 @@
 	OvertakeLate  time.Duration // and one that can meet no date any more, after this long
 	MaxPreempt    int           // attempts that one pass may stop to make room
 	MinRun        time.Duration // an attempt younger than this is stopped last
+	ImageFirst    bool          // production goes where its image is before anything else
 	PreemptWithin bool          // preempt for guarantees, not only for production
 }
 
@@ -30,6 +31,7 @@
 	Over    bool          // its job runs beyond its team's guarantee
 	Loss    time.Duration // work that stopping it loses
 	Young   bool
+	Saves   bool // it takes time to save before it exits
 	Gang    bool
 }
 
@@ -189,10 +191,17 @@
 			plan.Lacking = append(plan.Lacking, Shortage{w, w.Count, limited})
 			continue
 		}
-		placed := p.place(s, plan, w, n)
-		lack := n - placed
+		lack := n
+		if w.tier() == 0 && s.ImageFirst {
+			// Users wait for production: a machine that has the image, even one
+			// where something must make room at once, is worth more to them than
+			// the best fit without it.
+			lack -= p.place(s, plan, w, lack, true)
+			lack -= p.preempt(plan, w, lack, &stops, true)
+		}
+		lack -= p.place(s, plan, w, lack, false)
 		if lack > 0 && (w.tier() == 0 || s.PreemptWithin && w.tier() == 1) {
-			p.preempt(plan, w, lack, &stops)
+			p.preempt(plan, w, lack, &stops, false)
 		}
 		if lack > 0 {
 			plan.Lacking = append(plan.Lacking, Shortage{w, lack, false})
@@ -201,8 +210,12 @@
 	return plan
 }
 
-// place puts up to n tasks of a want on machines and tells how many.
-func (p *Picture) place(s *Settings, plan *Plan, w *Want, n int) int {
+// place puts up to n tasks of a want on machines, imageOnly on such as have its
+// image, and tells how many.
+func (p *Picture) place(s *Settings, plan *Plan, w *Want, n int, imageOnly bool) int {
+	if n <= 0 {
+		return 0
+	}
 	spec := w.Job.Spec
 	zones := []string{spec.Zone}
 	if spec.OneZone && spec.Zone == "" {
@@ -211,13 +224,13 @@
 		}
 	}
 	if !spec.OneZone && spec.Shape != model.Gang {
-		got := p.fill(s, w, n, spec.Zone)
+		got := p.fill(s, w, n, spec.Zone, imageOnly)
 		p.commit(plan, w, got)
 		return len(got)
 	}
 	var best []*Node
 	for _, z := range zones {
-		got := p.fill(s, w, n, z)
+		got := p.fill(s, w, n, z, imageOnly)
 		p.undo(w, got)
 		if len(got) > len(best) {
 			best = got
@@ -271,13 +284,12 @@
 
 // fill chooses machines for up to n tasks, one by one: of those that fit, the
 // one whose power efficiency after placement is highest; where that is equal,
-// one that has the image. Production goes to a machine that has the image first:
-// its users wait for the fetch.
-func (p *Picture) fill(s *Settings, w *Want, n int, zone string) []*Node {
+// one that has the image.
+func (p *Picture) fill(s *Settings, w *Want, n int, zone string, imageOnly bool) []*Node {
 	spec := w.Job.Spec
 	var fits []*Node
 	for _, nd := range p.Nodes {
-		if Allowed(spec, nd.Machine, zone) && !nd.kept(spec) && spec.Need.Fits(nd.Free) && w.Job.ErrorOn[nd.Machine.Name] == 0 {
+		if Allowed(spec, nd.Machine, zone) && !nd.kept(spec) && spec.Need.Fits(nd.Free) && w.Job.ErrorOn[nd.Machine.Name] == 0 && (!imageOnly || nd.hasImage(spec)) {
 			fits = append(fits, nd)
 		}
 	}
@@ -292,11 +304,8 @@
 			}
 			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
 			eff := Efficiency(share(nd.Machine, used), s.IdleShare)
-			_, image := nd.Machine.Images[spec.Image]
+			image := nd.hasImage(spec)
 			better := eff > bestEff+1e-9 || eff > bestEff-1e-9 && image && !bestImage
-			if spec.Rank == model.Production && image != bestImage {
-				better = image
-			}
 			if best == nil || better {
 				best, bestEff, bestImage = nd, eff, image
 			}
@@ -314,13 +323,22 @@
 // Guards against a few small tasks that hold the dearest machines for hours.
 func (nd *Node) kept(spec *model.Spec) bool { return nd.ForGPU && spec.Need.GPU == 0 }
 
+// hasImage tells whether a machine is known to hold the job's image.
+func (nd *Node) hasImage(spec *model.Spec) bool {
+	_, ok := nd.Machine.Images[spec.Image]
+	return ok
+}
+
 // preempt makes room for tasks that fit nowhere: first it claims what is being
 // freed already, then it stops what loses least among the attempts that may be
-// stopped for this want.
-func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int) {
+// stopped for this want. With atOnce it takes only machines that have the image,
+// and stops only what exits without saving. It tells for how many tasks it has
+// found room.
+func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int, atOnce bool) int {
 	spec := w.Job.Spec
+	found := 0
 	if spec.Shape == model.Gang && spec.Tasks > 1 {
-		return
+		return 0
 	}
 	zones := map[string]int{}
 	for z, n := range w.Zones {
@@ -337,7 +355,7 @@
 		var bestSet []int
 		var bestLoss time.Duration
 		for _, nd := range p.Nodes {
-			if !Allowed(spec, nd.Machine, lock) || nd.kept(spec) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() {
+			if !Allowed(spec, nd.Machine, lock) || nd.kept(spec) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() || atOnce && !nd.hasImage(spec) {
 				continue
 			}
 			free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
@@ -345,8 +363,8 @@
 				best, bestSet = nd, nil
 				break
 			}
-			set, loss, ok := victims(nd, w, free, *stops)
-			if _, image := nd.Machine.Images[spec.Image]; !image {
+			set, loss, ok := victims(nd, w, free, *stops, atOnce)
+			if !nd.hasImage(spec) {
 				loss += fetchLoss
 			}
 			if ok && (best == nil || loss < bestLoss) {
@@ -354,8 +372,9 @@
 			}
 		}
 		if best == nil {
-			return
+			return found
 		}
+		found++
 		for _, i := range bestSet {
 			v := best.Victims[i]
 			plan.Stop = append(plan.Stop, v)
@@ -376,16 +395,20 @@
 			lock = best.Machine.Zone
 		}
 	}
+	return found
 }
 
 // fetchLoss is what the fetch of an image weighs against work that is lost.
 const fetchLoss = 30 * time.Second
 
 // victims chooses attempts on a node whose end makes room for one task.
-func victims(nd *Node, w *Want, free model.Resources, most int) ([]int, time.Duration, bool) {
+func victims(nd *Node, w *Want, free model.Resources, most int, atOnce bool) ([]int, time.Duration, bool) {
 	spec := w.Job.Spec
 	var may []int
 	for i, v := range nd.Victims {
+		if atOnce && v.Saves {
+			continue
+		}
 		// Production is never stopped for a guarantee: it goes first in the order,
 		// so it would take the place back at once, and the two would stop each
 		// other in turns.
