--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -448,7 +448,7 @@
 	}
 	waiting, live := map[string]int{}, map[string]int{}
 	for _, j := range c.jobs {
-		if n := j.Count(model.TaskNew) + j.Count(model.TaskRestart); n > 0 {
+		if n := j.Waiting(); n > 0 {
 			waiting[j.Spec.Class] += n
 		}
 		if n := len(j.Live); n > 0 {
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -231,10 +231,14 @@
 		return
 	}
 	if j.Task(i) != model.TaskDone {
-		if j.Count(model.TaskNew)+j.Count(model.TaskRestart) == 0 {
+		if j.Waiting() == 0 {
 			j.WaitSince = now
 		}
-		j.SetTask(i, model.TaskRestart)
+		if a.Yields && j.Spec.Shape != model.Gang {
+			j.SetTask(i, model.TaskYielded)
+		} else {
+			j.SetTask(i, model.TaskRestart)
+		}
 	}
 	if j.Spec.Shape == model.Gang {
 		if len(j.Live) == 0 {
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -33,6 +33,7 @@
 	}
 	for _, v := range plan.Stop {
 		c.log.Info("preempting", "task", v.Attempt.Task, "machine", v.Attempt.Machine.Name, "rank", v.Rank.String(), "over", v.Over)
+		v.Attempt.Yields = true
 		c.halt(now, v.Attempt)
 	}
 	c.rent(now, plan.Lacking, coming)
@@ -42,11 +43,7 @@
 // machine: see docs/safety.md, "What is on a machine".
 func (c *Core) launch(now time.Time, pl sched.Placement, try uint64) {
 	j, m := pl.Want.Job, pl.Node.Machine
-	from := model.TaskNew
-	if pl.Want.Restart {
-		from = model.TaskRestart
-	}
-	i, ok := j.Take(from)
+	i, ok := j.Take(pl.Want.From)
 	if !ok || j.Live[i] != nil {
 		return
 	}
@@ -72,7 +69,7 @@
 
 // picture shows the scheduler what there is.
 func (c *Core) picture(now time.Time) (*sched.Picture, []*fleet.Coming) {
-	p := &sched.Picture{Used: map[string]model.Resources{}, Teams: c.teams, Zones: c.set.Zones}
+	p := &sched.Picture{Used: map[string]model.Resources{}, Leaving: map[string]model.Resources{}, Teams: c.teams, Zones: c.set.Zones}
 	guaranteed := c.guaranteed()
 	strict := false
 	for _, j := range c.order {
@@ -100,6 +97,9 @@
 				continue
 			}
 			p.Used[a.Team] = p.Used[a.Team].Add(a.Need)
+			if a.State == model.Stopping {
+				p.Leaving[a.Team] = p.Leaving[a.Team].Add(a.Need)
+			}
 			if !open {
 				continue
 			}
@@ -158,7 +158,7 @@
 
 // wants adds what waits of a job, and tells whether room may be made for it.
 func (c *Core) wants(now time.Time, p *sched.Picture, j *model.Job, guaranteed bool) bool {
-	if j.State != model.JobActive || j.Count(model.TaskNew)+j.Count(model.TaskRestart) == 0 {
+	if j.State != model.JobActive || j.Waiting() == 0 {
 		return false
 	}
 	// A task of a job from before the takeover may sit on a machine that is not
@@ -175,27 +175,28 @@
 		zones[a.Machine.Zone]++
 	}
 	if s.Shape == model.Gang {
-		restart := j.Count(model.TaskRestart) > 0
+		restart, from := j.Count(model.TaskRestart) > 0, model.TaskNew
 		// All tasks of a gang start together, so they wait in one state.
 		if restart {
 			for i, ok := j.Take(model.TaskNew); ok; i, ok = j.Take(model.TaskNew) {
 				j.SetTask(i, model.TaskRestart)
 			}
+			from = model.TaskRestart
 		}
 		n := j.Unfinished()
 		slack, due := c.slack(now, j, restart)
-		p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: restart, Count: n, Cap: n, Slack: slack, Due: due,
+		p.Wants = append(p.Wants, &sched.Want{Job: j, From: from, Restart: restart, Count: n, Cap: n, Slack: slack, Due: due,
 			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
-		return s.Rank == model.Production || guaranteed
+		return true
 	}
-	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew} {
+	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew, model.TaskYielded} {
 		if n := j.Count(st); n > 0 {
-			slack, due := c.slack(now, j, st == model.TaskRestart)
-			p.Wants = append(p.Wants, &sched.Want{Job: j, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack, Due: due,
+			slack, due := c.slack(now, j, st != model.TaskNew)
+			p.Wants = append(p.Wants, &sched.Want{Job: j, From: st, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack, Due: due,
 				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
 		}
 	}
-	return s.Rank == model.Production || guaranteed
+	return true
 }
 
 // forGPU tells whether machines of a kind are kept for GPU work: such work was
@@ -217,7 +218,7 @@
 // dates that can still be met, less the estimated run time. Dates are the job's
 // deadline and what users expect of its class. due tells that it has any date;
 // the slack is negative once none can be met.
-func (c *Core) slack(now time.Time, j *model.Job, restart bool) (slack time.Duration, due bool) {
+func (c *Core) slack(now time.Time, j *model.Job, started bool) (slack time.Duration, due bool) {
 	s := j.Spec
 	age := now.Sub(j.At)
 	slack = -1
@@ -231,7 +232,7 @@
 		date(s.Deadline - age - s.Estimate)
 	}
 	for _, a := range c.set.Aims[s.Class] {
-		if a.Start > 0 && !restart {
+		if a.Start > 0 && !started {
 			date(a.Start - age)
 		}
 		if a.Finish > 0 {
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -48,6 +48,7 @@
 	RunningAt  time.Time // first seen running
 	StopAt     time.Time // when it was told to stop
 	Grace      time.Duration
+	Yields     bool         // was stopped to make room
 	Told       AttemptState // the state that a direct command has told the worker of
 
 	// StrayLaunch: a direct launch was sent and never answered. A copy of it may
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -9,7 +9,8 @@
 const (
 	TaskNew     TaskState = iota // never started
 	TaskLive                     // an attempt of it counts as being on a machine
-	TaskRestart                  // waits to be started again
+	TaskRestart                  // waits to be started again after a failure
+	TaskYielded                  // was stopped to make room, and waits its turn like new ones
 	TaskDone
 )
 
@@ -38,7 +39,7 @@
 
 	tasks   []TaskState
 	counts  [TaskDone + 1]int
-	pending [TaskDone + 1][]int // by state, only TaskNew and TaskRestart; may hold stale numbers
+	pending [TaskDone + 1][]int // by state, only of those that wait; may hold stale numbers
 
 	Live map[int]*Attempt // the attempt that holds, by task
 
@@ -104,7 +105,7 @@
 	j.counts[s]++
 	j.tasks[i] = s
 	switch s {
-	case TaskNew, TaskRestart:
+	case TaskNew, TaskRestart, TaskYielded:
 		j.pending[s] = append(j.pending[s], i)
 	case TaskDone:
 		j.Bits[i/8] |= 1 << (i % 8)
@@ -114,6 +115,11 @@
 // Count tells how many tasks are in a state.
 func (j *Job) Count(s TaskState) int { return j.counts[s] }
 
+// Waiting is the number of tasks that wait to be started.
+func (j *Job) Waiting() int {
+	return j.counts[TaskNew] + j.counts[TaskRestart] + j.counts[TaskYielded]
+}
+
 // Unfinished is the number of tasks that are not done.
 func (j *Job) Unfinished() int { return len(j.tasks) - j.counts[TaskDone] }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -21,6 +21,7 @@
 	MaxPreempt    int           // attempts that one pass may stop to make room
 	MinRun        time.Duration // an attempt younger than this is stopped last
 	ImageFirst    bool          // production goes where its image is before anything else
+	Tight         time.Duration // with less slack than this, lower work of the same team makes way inside the team's limit
 	PreemptWithin bool          // preempt for guarantees, not only for production
 }
 
@@ -49,7 +50,8 @@
 // Want is a number of tasks of one job that wait.
 type Want struct {
 	Job        *model.Job
-	Restart    bool
+	From       model.TaskState // the state that its tasks wait in
+	Restart    bool            // they wait to be started again after a failure
 	Count      int
 	Due        bool          // the job has a date to meet
 	Slack      time.Duration // time left to it, less the estimated run time; negative: it cannot be met
@@ -82,11 +84,12 @@
 
 // Picture is what a pass decides from.
 type Picture struct {
-	Nodes []*Node
-	Wants []*Want
-	Used  map[string]model.Resources // by team, of all that may be on machines
-	Teams map[string]*model.Team
-	Zones []string
+	Nodes   []*Node
+	Wants   []*Want
+	Used    map[string]model.Resources // by team, of all that may be on machines
+	Leaving map[string]model.Resources // by team, the part of that which was told to stop
+	Teams   map[string]*model.Team
+	Zones   []string
 }
 
 // tier bounds the design's order by the users' ranks and guarantees: production
@@ -182,6 +185,9 @@
 		room := spec.Need.CountIn(model.Resources{CPU: team.Limit.CPU - p.Used[spec.Team].CPU,
 			GPU: team.Limit.GPU - p.Used[spec.Team].GPU, MemGB: 1e15})
 		limited := room < n
+		if limited && (w.tier() == 0 || w.lane(s) == laneSlack && w.Slack < s.Tight) {
+			p.yield(plan, w, n-max(room, 0), &stops)
+		}
 		if spec.Shape != model.Array && limited && w.Count == spec.Tasks {
 			plan.Lacking = append(plan.Lacking, Shortage{w, n, true})
 			continue
@@ -381,10 +387,7 @@
 			best.Freeing = best.Freeing.Add(v.Attempt.Need)
 			*stops--
 		}
-		slices.Sort(bestSet)
-		for k := len(bestSet) - 1; k >= 0; k-- {
-			best.Victims = slices.Delete(best.Victims, bestSet[k], bestSet[k]+1)
-		}
+		best.drop(bestSet)
 		// What is free now is claimed too, so that nobody behind takes it.
 		take := model.Resources{CPU: min(spec.Need.CPU, max(best.Free.CPU, 0)), GPU: min(spec.Need.GPU, max(best.Free.GPU, 0)),
 			MemGB: min(spec.Need.MemGB, max(best.Free.MemGB, 0))}
@@ -398,6 +401,58 @@
 	return found
 }
 
+// yield makes way inside a team's limit: it stops lower work of the same team,
+// what loses least first, and none that has only just begun.
+func (p *Picture) yield(plan *Plan, w *Want, tasks int, stops *int) {
+	spec := w.Job.Spec
+	missing := spec.Need.Times(tasks).Sub(p.Leaving[spec.Team])
+	type at struct {
+		nd *Node
+		i  int
+	}
+	var may []at
+	for _, nd := range p.Nodes {
+		for i, v := range nd.Victims {
+			if v.Attempt.Team == spec.Team && v.Rank < spec.Rank && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
+				(v.Saves || w.tier() == 0) {
+				may = append(may, at{nd, i})
+			}
+		}
+	}
+	slices.SortStableFunc(may, func(a, b at) int {
+		return cmp.Compare(cost(a.nd.Victims[a.i]), cost(b.nd.Victims[b.i]))
+	})
+	taken := map[*Node][]int{}
+	for _, v := range may {
+		if missing.CPU <= 1e-6 && missing.GPU <= 1e-6 || *stops <= 0 {
+			break
+		}
+		r := v.nd.Victims[v.i]
+		plan.Stop = append(plan.Stop, r)
+		*stops--
+		missing = missing.Sub(r.Attempt.Need)
+		p.Leaving[spec.Team] = p.Leaving[spec.Team].Add(r.Attempt.Need)
+		v.nd.Freeing = v.nd.Freeing.Add(r.Attempt.Need)
+		taken[v.nd] = append(taken[v.nd], v.i)
+	}
+	// What is on its way out is spoken for.
+	p.Leaving[spec.Team] = p.Leaving[spec.Team].Sub(spec.Need.Times(tasks))
+	if l := p.Leaving[spec.Team]; l.CPU < 0 || l.GPU < 0 {
+		p.Leaving[spec.Team] = model.Resources{CPU: max(l.CPU, 0), GPU: max(l.GPU, 0)}
+	}
+	for nd, list := range taken {
+		nd.drop(list)
+	}
+}
+
+// drop takes victims off a node's list.
+func (nd *Node) drop(list []int) {
+	slices.Sort(list)
+	for k := len(list) - 1; k >= 0; k-- {
+		nd.Victims = slices.Delete(nd.Victims, list[k], list[k]+1)
+	}
+}
+
 // fetchLoss is what the fetch of an image weighs against work that is lost.
 const fetchLoss = 30 * time.Second
 
