--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -86,6 +86,8 @@
 type Fleet struct {
 	KeepIdle   Duration `xml:"keep-idle"`
 	KeepBoots  float64  `xml:"keep-boots"`
+	LeastPaid  Duration `xml:"least-paid"`
+	KeepSpot   float64  `xml:"keep-spot"`
 	BootFactor float64  `xml:"boot-factor"`
 	BootExtra  Duration `xml:"boot-extra"`
 	Refused    Duration `xml:"refused"`
@@ -120,7 +122,7 @@
 		Leadership: Leadership{Lease: s(4), Margin: s(0.2), Look: s(2), Retry: s(0.25)},
 		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), OvertakeLate: s(900), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16, ImageFirst: true, Tight: s(30),
 			MinRun: s(30), Backoff: s(4), BackoffMost: s(60)},
-		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), List: s(5), Catalog: s(60)},
+		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, LeastPaid: s(60), KeepSpot: 4, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), List: s(5), Catalog: s(60)},
 		Workers: Workers{LeaseMargin: s(0.5), SilentShare: 0.34, SickErrors: 2, DirectWait: s(1.5),
 			DirectHold: s(3)},
 		Front: Front{StateTimeout: s(1.2), RetryAfter: s(1), KeepEnded: 50_000},
@@ -197,6 +199,8 @@
 	span("scheduler/backoff-most", o.Scheduler.BackoffMost, o.Scheduler.Backoff.D(), 24*time.Hour)
 	span("fleet/keep-idle", o.Fleet.KeepIdle, 0, 24*time.Hour)
 	number("fleet/keep-boots", o.Fleet.KeepBoots, 0, 100)
+	span("fleet/least-paid", o.Fleet.LeastPaid, 0, 24*time.Hour)
+	number("fleet/keep-spot", o.Fleet.KeepSpot, 0, 1000)
 	number("fleet/boot-factor", o.Fleet.BootFactor, 1, 100)
 	span("fleet/boot-extra", o.Fleet.BootExtra, 0, time.Hour)
 	span("fleet/refused", o.Fleet.Refused, time.Second, time.Hour)
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -522,7 +522,7 @@
 			case m.Unsure || m.Holding > 0:
 			case m.State == model.Draining:
 				giveBack(m, m.Why)
-			case now.Sub(m.EmptySince) > c.set.Fleet.Keep(m.Type):
+			case c.set.Fleet.Idle(m.Type, m.Spot, now.Sub(m.EmptySince), now.Sub(m.Rented)):
 				giveBack(m, "idle")
 			}
 		case model.Returning:
@@ -584,7 +584,9 @@
 		if _, ok := c.gone[name]; ok || c.machines[name] != nil {
 			continue
 		}
-		c.register(c.newMachine(now, model.Listed{Machine: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, model.Booting))
+		m := c.newMachine(now, model.Listed{Machine: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, model.Booting)
+		m.Rented = now
+		c.register(m)
 	}
 	c.dirty = true
 }
@@ -636,7 +638,7 @@
 				continue // the list lags
 			}
 			m = c.newMachine(now, l, model.Booting)
-			m.Since = now.Add(-l.Age)
+			m.Since, m.Rented = now.Add(-l.Age), now.Add(-l.Age)
 			c.register(m)
 			c.log.Info("unexpected machine is listed", "machine", l.Machine, "type", l.Type, "zone", l.Zone)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,8 @@
 type Settings struct {
 	KeepIdle   time.Duration // an empty machine is kept this long at least
 	KeepBoots  float64       // and this many times its type's boot time
+	LeastPaid  time.Duration // a machine is paid for at least this long, so it is not given back sooner
+	KeepSpot   float64       // the floor for a spot machine is this many times as long
 	BootFactor float64       // a machine that takes longer than this many boot times is replaced
 	BootExtra  time.Duration // plus this
 	Refused    time.Duration // a refused kind of machine is asked for again after this
@@ -43,11 +45,16 @@
 	free model.Resources
 }
 
-// Keep is how long an empty machine of the type is kept: as long as renting it
-// anew would take, and no less than a floor, since every rental pays a least
-// charge.
-func (s *Settings) Keep(t *model.MachineType) time.Duration {
-	return max(s.KeepIdle, time.Duration(s.KeepBoots*float64(t.Boot)))
+// Idle tells whether a machine that has been empty for some time is to be given
+// back. It is kept as long as renting it anew would take, and no less than a
+// floor; what is paid for anyway is kept too. Spot machines are cheap and scarce,
+// so they are kept longer.
+func (s *Settings) Idle(t *model.MachineType, spot bool, empty, age time.Duration) bool {
+	floor := s.KeepIdle
+	if spot {
+		floor = time.Duration(float64(floor) * s.KeepSpot)
+	}
+	return empty > max(floor, time.Duration(s.KeepBoots*float64(t.Boot))) && age >= s.LeastPaid
 }
 
 // BootLimit is when a machine that has not come up is given up.
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -159,6 +159,7 @@
 	Rows    map[AttemptKey]*Attempt
 
 	EmptySince time.Time
+	Rented     time.Time // when it was asked for, as far as is known
 	Notice     time.Time // when the cloud takes it; zero: no notice
 	Images     map[string]time.Time
 
