--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -20,6 +20,7 @@
 	OvertakeLate  time.Duration // and one that can meet no date any more, after this long
 	MaxPreempt    int           // attempts that one pass may stop to make room
 	MinRun        time.Duration // an attempt younger than this is stopped last
+	Dear          float64       // a machine whose CPUs cost this many times the cheapest ones is dear: no place for services
 	ImageFirst    bool          // production goes where its image is before anything else
 	Tight         time.Duration // with less slack than this, lower work of the same team makes way inside the team's limit
 	PreemptWithin bool          // preempt for guarantees, not only for production
@@ -202,12 +203,18 @@
 			// Users wait for production: a machine that has the image, even one
 			// where something must make room at once, is worth more to them than
 			// the best fit without it.
-			lack -= p.place(s, plan, w, lack, true)
-			lack -= p.preempt(plan, w, lack, &stops, true)
+			if spec.Shape == model.Service {
+				// A service stays for long: first the cheap kinds of machine.
+				dear := p.dearer(spec, s.Dear)
+				lack -= p.place(s, plan, w, lack, stage{image: true, rate: dear})
+				lack -= p.preempt(plan, w, lack, &stops, stage{image: true, rate: dear})
+			}
+			lack -= p.place(s, plan, w, lack, stage{image: true})
+			lack -= p.preempt(plan, w, lack, &stops, stage{image: true})
 		}
-		lack -= p.place(s, plan, w, lack, false)
+		lack -= p.place(s, plan, w, lack, stage{})
 		if lack > 0 && (w.tier() == 0 || s.PreemptWithin && w.tier() == 1) {
-			p.preempt(plan, w, lack, &stops, false)
+			p.preempt(plan, w, lack, &stops, stage{})
 		}
 		if lack > 0 {
 			plan.Lacking = append(plan.Lacking, Shortage{w, lack, false})
@@ -216,9 +223,38 @@
 	return plan
 }
 
-// place puts up to n tasks of a want on machines, imageOnly on such as have its
-// image, and tells how many.
-func (p *Picture) place(s *Settings, plan *Plan, w *Want, n int, imageOnly bool) int {
+// stage narrows down the machines that are looked at.
+type stage struct {
+	image bool    // only such as have the image, and room that comes at once
+	rate  float64 // only such as cost no more than this for a CPU an hour; 0: any
+}
+
+func (st stage) takes(nd *Node, spec *model.Spec) bool {
+	return (!st.image || nd.hasImage(spec)) && (st.rate == 0 || rate(nd.Machine) <= st.rate)
+}
+
+// rate is what a CPU of a machine costs an hour.
+func rate(m *model.Machine) float64 {
+	if m.Spot {
+		return m.Type.SpotPrice / m.Type.Cap.CPU
+	}
+	return m.Type.Price / m.Type.Cap.CPU
+}
+
+// dearer is the rate above which a machine counts as dear for a job: a factor
+// over the cheapest one that it may use.
+func (p *Picture) dearer(spec *model.Spec, factor float64) float64 {
+	least := 0.0
+	for _, nd := range p.Nodes {
+		if r := rate(nd.Machine); Allowed(spec, nd.Machine, "") && (least == 0 || r < least) {
+			least = r
+		}
+	}
+	return least * factor
+}
+
+// place puts up to n tasks of a want on machines and tells how many.
+func (p *Picture) place(s *Settings, plan *Plan, w *Want, n int, st stage) int {
 	if n <= 0 {
 		return 0
 	}
@@ -230,13 +266,13 @@
 		}
 	}
 	if !spec.OneZone && spec.Shape != model.Gang {
-		got := p.fill(s, w, n, spec.Zone, imageOnly)
+		got := p.fill(s, w, n, spec.Zone, st)
 		p.commit(plan, w, got)
 		return len(got)
 	}
 	var best []*Node
 	for _, z := range zones {
-		got := p.fill(s, w, n, z, imageOnly)
+		got := p.fill(s, w, n, z, st)
 		p.undo(w, got)
 		if len(got) > len(best) {
 			best = got
@@ -291,11 +327,11 @@
 // fill chooses machines for up to n tasks, one by one: of those that fit, the
 // one whose power efficiency after placement is highest; where that is equal,
 // one that has the image.
-func (p *Picture) fill(s *Settings, w *Want, n int, zone string, imageOnly bool) []*Node {
+func (p *Picture) fill(s *Settings, w *Want, n int, zone string, st stage) []*Node {
 	spec := w.Job.Spec
 	var fits []*Node
 	for _, nd := range p.Nodes {
-		if Allowed(spec, nd.Machine, zone) && !nd.kept(spec) && spec.Need.Fits(nd.Free) && w.Job.ErrorOn[nd.Machine.Name] == 0 && (!imageOnly || nd.hasImage(spec)) {
+		if Allowed(spec, nd.Machine, zone) && !nd.kept(spec) && spec.Need.Fits(nd.Free) && w.Job.ErrorOn[nd.Machine.Name] == 0 && st.takes(nd, spec) {
 			fits = append(fits, nd)
 		}
 	}
@@ -337,10 +373,9 @@
 
 // preempt makes room for tasks that fit nowhere: first it claims what is being
 // freed already, then it stops what loses least among the attempts that may be
-// stopped for this want. With atOnce it takes only machines that have the image,
-// and stops only what exits without saving. It tells for how many tasks it has
-// found room.
-func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int, atOnce bool) int {
+// stopped for this want. Where the stage asks for the image, it stops only what exits
+// without saving. It tells for how many tasks it has found room.
+func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int, st stage) int {
 	spec := w.Job.Spec
 	found := 0
 	if spec.Shape == model.Gang && spec.Tasks > 1 {
@@ -361,7 +396,7 @@
 		var bestSet []int
 		var bestLoss time.Duration
 		for _, nd := range p.Nodes {
-			if !Allowed(spec, nd.Machine, lock) || nd.kept(spec) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() || atOnce && !nd.hasImage(spec) {
+			if !Allowed(spec, nd.Machine, lock) || nd.kept(spec) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() || !st.takes(nd, spec) {
 				continue
 			}
 			free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
@@ -369,7 +404,7 @@
 				best, bestSet = nd, nil
 				break
 			}
-			set, loss, ok := victims(nd, w, free, *stops, atOnce)
+			set, loss, ok := victims(nd, w, free, *stops, st.image)
 			if !nd.hasImage(spec) {
 				loss += fetchLoss
 			}
