--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -439,6 +439,10 @@
 func (c *Core) status(now time.Time) {
 	var states [model.Gone + 1]int
 	var total, used model.Resources
+	kinds := map[string]string{}
+	for _, k := range c.kinds() {
+		kinds[k.name] = fmt.Sprintf("%d(%.0f%%)", k.count, 100*k.used/max(k.cpus, 1e-9))
+	}
 	for _, m := range c.machines {
 		states[m.State]++
 		if m.State == model.Ready {
@@ -456,5 +460,31 @@
 		}
 	}
 	c.log.Info("status", "jobs", len(c.jobs), "waiting", waiting, "live", live, "ready", states[model.Ready], "booting", states[model.Booting],
-		"draining", states[model.Draining], "unsettled", c.unsure, "cpus", total.CPU, "cpus_used", used.CPU, "gpus", total.GPU, "gpus_used", used.GPU)
+		"draining", states[model.Draining], "unsettled", c.unsure, "kinds", kinds, "cpus", total.CPU, "cpus_used", used.CPU, "gpus", total.GPU, "gpus_used", used.GPU)
+}
+
+// kind sums up the machines of one type, ordinary or spot.
+type kind struct {
+	name       string
+	count      int
+	cpus, used float64
+}
+
+func (c *Core) kinds() map[string]*kind {
+	out := map[string]*kind{}
+	for _, m := range c.machines {
+		name := m.Type.Name
+		if m.Spot {
+			name += "/spot"
+		}
+		k := out[name]
+		if k == nil {
+			k = &kind{name: name}
+			out[name] = k
+		}
+		k.count++
+		k.cpus += m.Type.Cap.CPU
+		k.used += m.Used.CPU
+	}
+	return out
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -347,7 +347,11 @@
 			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
 			eff := Efficiency(share(nd.Machine, used), s.IdleShare)
 			image := nd.hasImage(spec)
-			better := eff > bestEff+1e-9 || eff > bestEff-1e-9 && image && !bestImage
+			// Where the efficiency is equal: the image, then the cheaper kind.
+			better := eff > bestEff+1e-9
+			if best != nil && !better && eff > bestEff-1e-9 {
+				better = image && !bestImage || image == bestImage && rate(nd.Machine) < 0.999*rate(best.Machine)
+			}
 			if best == nil || better {
 				best, bestEff, bestImage = nd, eff, image
 			}
