--- /dev/null
+++ b/internal/fake/state.go
@@ -0,0 +1,249 @@
+// Package fake holds in-memory stand-ins for everything outside a controller:
+// the state service, the cloud, the workers and the network between them. The
+// stories in its tests play controllers against them in a time of their own.
+package fake
+
+import (
+	"errors"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/glentiller/glentiller/internal/rpc"
+)
+
+// State is a stand-in for the state service. It speaks the published protocol,
+// without the network.
+type State struct {
+	now    func() time.Time
+	Down   bool // answers 503 to all
+	rev    uint64
+	keys   map[string]*stateKey
+	log    []stateKey
+	leases map[uint64]*stateLease
+	next   uint64
+	Txns   int // transactions that were carried out
+}
+
+type stateKey struct {
+	key     string
+	value   any
+	version uint64
+	lease   uint64
+	removed bool
+}
+
+type stateLease struct {
+	life, left time.Duration
+	since      time.Time
+}
+
+// NewState makes an empty state service.
+func NewState(now func() time.Time) *State {
+	return &State{now: now, rev: 1, keys: map[string]*stateKey{}, leases: map[uint64]*stateLease{}}
+}
+
+// SetDown starts or ends an outage. After one, every lease has its full time.
+func (s *State) SetDown(down bool) {
+	s.expire()
+	s.Down = down
+	for _, l := range s.leases {
+		l.since = s.now()
+	}
+}
+
+func (s *State) expire() {
+	if s.Down {
+		return
+	}
+	for id, l := range s.leases {
+		if s.now().Sub(l.since) > l.life {
+			s.end(id)
+		}
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	for k, e := range s.keys {
+		if e.lease == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	if len(gone) > 0 {
+		s.rev++
+	}
+	for _, k := range gone {
+		s.remove(k)
+	}
+}
+
+func (s *State) remove(k string) {
+	delete(s.keys, k)
+	s.log = append(s.log, stateKey{key: k, version: s.rev, removed: true})
+}
+
+func status(code int, body any) ([]byte, error) {
+	b, err := msgp.AppendIntf(nil, body)
+	if err != nil {
+		return nil, err
+	}
+	if code != http.StatusOK {
+		return nil, &rpc.StatusError{Status: code, Body: b}
+	}
+	return b, nil
+}
+
+// Call answers one request.
+func (s *State) Call(method, uri string, body []byte, _ time.Duration) ([]byte, error) {
+	s.expire()
+	if s.Down {
+		return status(http.StatusServiceUnavailable, map[string]any{})
+	}
+	u, err := url.Parse(uri)
+	if err != nil {
+		return status(http.StatusBadRequest, map[string]any{})
+	}
+	var in map[string]any
+	if len(body) > 0 {
+		v, _, err := msgp.ReadIntfBytes(body)
+		m, ok := v.(map[string]any)
+		if err != nil || !ok {
+			return status(http.StatusBadRequest, map[string]any{})
+		}
+		in = m
+	}
+	q := u.Query()
+	switch path := u.Path; {
+	case path == "/keys":
+		return s.list(q.Get("prefix"), q.Get("after"), q.Get("page"))
+	case strings.HasPrefix(path, "/keys/"):
+		e := s.keys[path[len("/keys/"):]]
+		if e == nil {
+			return status(http.StatusNotFound, map[string]any{"epoch": s.rev})
+		}
+		return status(http.StatusOK, e.intf())
+	case path == "/changes":
+		return s.changes(q.Get("prefix"), q.Get("after"))
+	case path == "/commit":
+		return s.commit(in)
+	case path == "/grants":
+		s.next++
+		s.leases[s.next] = &stateLease{life: time.Duration(number(in["lifeMs"])) * time.Millisecond, since: s.now()}
+		return status(http.StatusOK, map[string]any{"tenancy": s.next})
+	case strings.HasPrefix(path, "/grants/"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(path[len("/grants/"):], "/touch"), 10, 64)
+		l := s.leases[id]
+		if l == nil {
+			return status(http.StatusNotFound, map[string]any{})
+		}
+		if method == http.MethodDelete {
+			s.end(id)
+		} else {
+			l.since = s.now()
+		}
+		return status(http.StatusOK, map[string]any{})
+	}
+	return nil, errors.New("no such path: " + uri)
+}
+
+func (e *stateKey) intf() map[string]any {
+	m := map[string]any{"k": e.key, "value": e.value, "stamp": e.version}
+	if e.lease != 0 {
+		m["tenancy"] = e.lease
+	}
+	return m
+}
+
+func number(v any) uint64 {
+	switch n := v.(type) {
+	case uint64:
+		return n
+	case int64:
+		return uint64(n)
+	}
+	return 0
+}
+
+func (s *State) list(prefix, after, page string) ([]byte, error) {
+	most, err := strconv.Atoi(page)
+	if err != nil {
+		most = 1000
+	}
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > most
+	entries := []any{}
+	for _, k := range names[:min(most, len(names))] {
+		entries = append(entries, s.keys[k].intf())
+	}
+	return status(http.StatusOK, map[string]any{"entries": entries, "more": more, "epoch": s.rev})
+}
+
+func (s *State) changes(prefix, after string) ([]byte, error) {
+	from, _ := strconv.ParseUint(after, 10, 64)
+	log := []any{}
+	for _, e := range s.log {
+		if e.version <= from || !strings.HasPrefix(e.key, prefix) {
+			continue
+		}
+		if e.removed {
+			log = append(log, map[string]any{"remove": e.key, "stamp": e.version})
+		} else {
+			log = append(log, map[string]any{"write": e.key, "value": e.value, "stamp": e.version})
+		}
+	}
+	return status(http.StatusOK, map[string]any{"epoch": s.rev, "log": log})
+}
+
+func (s *State) commit(in map[string]any) ([]byte, error) {
+	conds, _ := in["if"].([]any)
+	ops, _ := in["apply"].([]any)
+	failed := []any{}
+	for _, c := range conds {
+		m := c.(map[string]any)
+		var have uint64
+		if e := s.keys[m["k"].(string)]; e != nil {
+			have = e.version
+		}
+		if have != number(m["stamp"]) {
+			failed = append(failed, m["k"])
+		}
+	}
+	if len(failed) > 0 {
+		return status(http.StatusConflict, map[string]any{"failed": failed, "epoch": s.rev})
+	}
+	for _, o := range ops {
+		m := o.(map[string]any)
+		if lease := number(m["tenancy"]); lease != 0 && s.leases[lease] == nil {
+			return status(http.StatusBadRequest, map[string]any{"error": "no such lease"})
+		}
+	}
+	s.rev++
+	s.Txns++
+	for _, o := range ops {
+		m := o.(map[string]any)
+		if k, ok := m["remove"].(string); ok {
+			if s.keys[k] != nil {
+				s.remove(k)
+			}
+			continue
+		}
+		e := stateKey{key: m["write"].(string), value: m["value"], version: s.rev, lease: number(m["tenancy"])}
+		s.keys[e.key] = &e
+		s.log = append(s.log, e)
+	}
+	return status(http.StatusOK, map[string]any{"epoch": s.rev})
+}
--- /dev/null
+++ b/internal/fake/stories_test.go
@@ -0,0 +1,494 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/config"
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+const second = time.Second
+
+// deployment is a small one: three controllers, two zones, one team that may use
+// 32 CPUs and another that may use 16.
+func deployment(t *testing.T, machines int) *World {
+	t.Helper()
+	p := &config.Platform{Member: "tiller-0"}
+	d := &p.Deployment
+	d.Zones = []string{"a", "b"}
+	d.Workers.Report, d.Workers.Lease, d.Workers.GangWait, d.Workers.GangPeer, d.Workers.Cancel = 2, 12, 20, 5, 30
+	d.State.ValueKB, d.State.TxnOps = 8, 12
+	d.Cloud.ListLag = 5
+	o := config.Defaults()
+	set, el := config.Control(p, o), config.Election(p, o)
+	set.Teams = []model.Team{
+		{Name: "red", Guarantee: model.Resources{CPU: 16}, Limit: model.Resources{CPU: 32}},
+		{Name: "blue", Guarantee: model.Resources{CPU: 8}, Limit: model.Resources{CPU: 16}},
+	}
+	w := NewWorld(3, set, el, quiet)
+	w.Types = []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Price: 1, SpotPrice: 0.3, Boot: 5 * second, Zones: []string{"a", "b"}}}
+	for i := range machines {
+		w.machines++
+		w.AddMachine(model.Listed{Machine: fmt.Sprintf("n-%06d", w.machines), Type: "eight", Zone: d.Zones[i%2]})
+	}
+	t.Cleanup(func() {
+		for _, b := range w.Broken {
+			t.Errorf("broken: %s", b)
+		}
+	})
+	w.Pass(6 * second)
+	if w.Leader() == nil {
+		t.Fatal("nobody leads after 6 s")
+	}
+	return w
+}
+
+var jobs int
+
+// job makes a job of the red team; change adapts it.
+func job(shape model.Shape, tasks int, change func(*model.Spec)) *model.Spec {
+	jobs++
+	s := &model.Spec{ID: fmt.Sprintf("wk-%06d", jobs), Class: "work", Team: "red", Shape: shape, Rank: model.Normal, Tasks: tasks,
+		Need: model.Resources{CPU: 4, MemGB: 8}, Image: "img", ImageGB: 1, Estimate: 10 * second, Spot: true}
+	if change != nil {
+		change(s)
+	}
+	return s
+}
+
+func submit(t *testing.T, w *World, s *model.Spec) {
+	t.Helper()
+	if err := w.Submit(w.Controllers[0], s); err != nil {
+		t.Fatalf("submission: %v", err)
+	}
+}
+
+// until lets time pass until something holds.
+func until(t *testing.T, w *World, most time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := w.Now().Add(most); w.Now().Before(end); {
+		if holds() {
+			return
+		}
+		w.Pass(100 * time.Millisecond)
+	}
+	if !holds() {
+		t.Fatalf("not within %v: %s", most, what)
+	}
+}
+
+func state(t *testing.T, c *Controller, id string) wire.JobState {
+	t.Helper()
+	if err := c.Jobs.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if v := c.Jobs.Peek(id); v.State != wire.StateUnknown {
+		return v.State
+	}
+	return poll(t, c, id)
+}
+
+// poll asks as a user's poll does.
+func poll(t *testing.T, c *Controller, id string) wire.JobState {
+	t.Helper()
+	v, err := c.Jobs.Lookup(context.Background(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v.State
+}
+
+func done(t *testing.T, w *World, s *model.Spec) func() bool {
+	return func() bool { return state(t, w.Controllers[0], s.ID) == wire.StateDone }
+}
+
+func on(w *World, s *model.Spec) int {
+	n := 0
+	for i := range s.Tasks {
+		n += len(w.On(model.TaskID{Job: s.ID, Index: i}))
+	}
+	return n
+}
+
+func TestAnArrayRunsAndMachinesGoBack(t *testing.T) {
+	w := deployment(t, 1)
+	s := job(model.Array, 9, nil)
+	submit(t, w, s)
+	until(t, w, 90*second, "done", done(t, w, s))
+	if w.Rented() < 2 {
+		t.Error("nothing was rented for nine tasks that fill more than one machine")
+	}
+	until(t, w, 300*second, "idle machines returned", func() bool { return len(w.Workers) == 0 })
+}
+
+func TestLeaderDiesWithALaunchInFlight(t *testing.T) {
+	w := deployment(t, 3)
+	s := job(model.Array, 4, nil)
+	w.Run = 30 * second
+	w.Hold = true // direct launches hang in the network
+	submit(t, w, s)
+	until(t, w, 3*second, "direct launches are on their way", func() bool { return len(w.Held) > 0 })
+	old := w.Leader()
+	old.Crash()
+	w.Hold = false
+	until(t, w, 20*second, "another leads", func() bool { l := w.Leader(); return l != nil && l != old })
+	until(t, w, 20*second, "all tasks run", func() bool { return on(w, s) == 4 })
+	for _, f := range w.Held {
+		f() // minutes late: the new leader's token is known to the workers
+	}
+	w.Pass(5 * second)
+	until(t, w, 60*second, "done", done(t, w, s))
+}
+
+func TestLateLaunchAfterItsTaskIsOver(t *testing.T) {
+	w := deployment(t, 2)
+	w.Run = 2 * second
+	s := job(model.Array, 1, nil)
+	w.Hold = true
+	submit(t, w, s)
+	until(t, w, 30*second, "done by the launch in a report's answer", done(t, w, s))
+	w.Pass(10 * second)
+	delete(w.Done, model.TaskID{Job: s.ID}) // a second start would show as one that runs
+	for _, f := range w.Held {
+		f()
+	}
+	w.Pass(3 * second)
+	if n := on(w, s); n != 0 {
+		t.Errorf("a late copy of the launch started the task again: on %d machines", n)
+	}
+}
+
+func TestDeposedLeaderWritesNothing(t *testing.T) {
+	w := deployment(t, 2)
+	old := w.Leader()
+	ver := old.ver
+	old.NoNet = true
+	until(t, w, 20*second, "another leads", func() bool { l := w.Leader(); return l != nil && l != old })
+	s := job(model.Array, 1, nil)
+	w.Run = 60 * second
+	if err := w.Submit(w.Leader(), s); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, 20*second, "runs", func() bool { return on(w, s) == 1 })
+	old.NoNet = false
+	if err := old.Jobs.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	v := old.Jobs.Peek(s.ID)
+	ok, err := old.State.Save(context.Background(), ver, []control.Save{{Kind: control.EndJob, Job: s.ID, Version: v.Version, Tasks: 1}})
+	if err != nil || ok {
+		t.Errorf("a late transaction of a deposed leader was carried out (ok=%v, err=%v)", ok, err)
+	}
+	if got := state(t, w.Controllers[1], s.ID); got == wire.StateDone {
+		t.Error("the job counts as done")
+	}
+}
+
+func TestAllControllersRestart(t *testing.T) {
+	w := deployment(t, 3)
+	w.Run = 25 * second
+	s := job(model.Array, 5, nil)
+	svc := job(model.Service, 2, func(s *model.Spec) { s.Rank = model.Production; s.Spot = false; s.Spread = true })
+	submit(t, w, s)
+	submit(t, w, svc)
+	until(t, w, 20*second, "all run", func() bool { return on(w, s) == 5 && on(w, svc) == 2 })
+	before := w.On(model.TaskID{Job: svc.ID})
+	for _, c := range w.Controllers {
+		c.Crash()
+	}
+	w.Pass(3 * second)
+	for _, c := range w.Controllers {
+		c.Start()
+	}
+	until(t, w, 15*second, "somebody leads", func() bool { return w.Leader() != nil })
+	w.Pass(5 * second)
+	if after := w.On(model.TaskID{Job: svc.ID}); len(after) != 1 || after[0] != before[0] {
+		t.Errorf("the replica was on %v and is on %v: the new leader did not adopt it", before, after)
+	}
+	until(t, w, 90*second, "done", done(t, w, s))
+}
+
+func TestStateOutageLongerThanTheLeadersLease(t *testing.T) {
+	w := deployment(t, 2)
+	w.Run = 60 * second
+	s := job(model.Array, 3, nil)
+	submit(t, w, s)
+	until(t, w, 20*second, "all run", func() bool { return on(w, s) == 3 })
+	l := w.Leader()
+	w.State.SetDown(true)
+	w.Pass(8 * second) // longer than the leader's lease, shorter than the workers'
+	if w.Leader() != nil {
+		t.Error("a leader acts although it has not renewed for 8 s")
+	}
+	w.State.SetDown(false)
+	until(t, w, 5*second, "the same leader acts again", func() bool { return w.Leader() == l })
+	w.Pass(3 * second)
+	if n := on(w, s); n != 3 {
+		t.Errorf("%d of 3 tasks outlived the outage", n)
+	}
+	until(t, w, 90*second, "done", done(t, w, s))
+}
+
+func TestWorkerThatWasCutOffStartsANewSession(t *testing.T) {
+	w := deployment(t, 3)
+	w.Run = 60 * second
+	s := job(model.Array, 2, nil)
+	submit(t, w, s)
+	until(t, w, 20*second, "all run", func() bool { return on(w, s) == 2 })
+	k := w.Workers[w.On(model.TaskID{Job: s.ID})[0]]
+	k.Cut = true
+	w.Pass(5 * second)
+	if n := len(w.On(model.TaskID{Job: s.ID})); n != 1 {
+		t.Fatalf("while its machine may still run it, the task is on %d machines", n)
+	}
+	until(t, w, 40*second, "runs elsewhere", func() bool { return on(w, s) == 2 && w.On(model.TaskID{Job: s.ID})[0] != k.Name })
+}
+
+func TestCancelWhileTheLaunchIsInFlight(t *testing.T) {
+	w := deployment(t, 2)
+	w.Run = 300 * second
+	s := job(model.Service, 2, nil)
+	w.Hold = true
+	submit(t, w, s)
+	until(t, w, 3*second, "direct launches are on their way", func() bool { return len(w.Held) > 0 })
+	if _, err := w.Cancel(w.Controllers[1], s.ID); err != nil {
+		t.Fatal(err)
+	}
+	w.Pass(20 * second)
+	for _, f := range w.Held {
+		f()
+	}
+	w.Pass(60 * second) // the world checks ran_cancelled
+	if n := on(w, s); n != 0 {
+		t.Errorf("%d tasks of a cancelled job run", n)
+	}
+}
+
+func TestDoneAndCancelledExcludeEachOther(t *testing.T) {
+	for _, after := range []time.Duration{0, 2 * second, 4 * second, 5 * second, 6 * second, 8 * second} {
+		w := deployment(t, 2)
+		w.Run = 3 * second
+		s := job(model.Array, 2, nil)
+		submit(t, w, s)
+		w.Pass(after)
+		v, err := w.Cancel(w.Controllers[2], s.ID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Pass(20 * second)
+		for i, c := range w.Controllers {
+			if got := state(t, c, s.ID); got != v.State {
+				t.Errorf("cancelled after %v: the user was told %v, controller %d says %v", after, v.State, i, got)
+			}
+		}
+		if v.State == wire.StateDone && !w.allDone(s.ID) {
+			t.Errorf("cancelled after %v: done, but tasks are not", after)
+		}
+	}
+}
+
+func TestPollThroughAnotherControllerIsNotOlder(t *testing.T) {
+	w := deployment(t, 2)
+	s := job(model.Service, 1, nil)
+	submit(t, w, s)
+	w.Pass(3 * second)
+	other := w.Controllers[2]
+	if err := other.Jobs.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if got := poll(t, other, s.ID); got != wire.StateQueued {
+		t.Fatalf("an accepted job is %v", got)
+	}
+	if _, err := w.Cancel(w.Controllers[1], s.ID); err != nil {
+		t.Fatal(err)
+	}
+	// The other controller has followed no change since.
+	if got := poll(t, other, s.ID); got != wire.StateCancelled {
+		t.Errorf("after the user was told that the job is cancelled, another controller says %v", got)
+	}
+	other.NoNet = true
+	if v, err := other.Jobs.Lookup(context.Background(), s.ID); err != nil || v.State != wire.StateCancelled {
+		t.Errorf("a remembered final state needs no state service: got %v, %v", v.State, err)
+	}
+	if _, err := other.Jobs.Lookup(context.Background(), "wk-999999"); err == nil {
+		t.Error("without the state service nobody can know that a job was never accepted")
+	}
+}
+
+func TestLimitHoldsWhileMachinesAreUnreachable(t *testing.T) {
+	w := deployment(t, 4)
+	w.Run = 200 * second
+	s := job(model.Array, 12, func(s *model.Spec) { s.Team = "blue" }) // 48 CPUs, of which 16 may run
+	submit(t, w, s)
+	until(t, w, 20*second, "the limit is used", func() bool { return on(w, s) == 4 })
+	for i := range s.Tasks {
+		for _, n := range w.On(model.TaskID{Job: s.ID, Index: i}) {
+			w.Workers[n].Cut = true
+		}
+	}
+	w.Leader().Crash()
+	w.Pass(60 * second) // the world checks quota
+	if n := on(w, s); n != 4 {
+		t.Errorf("after the lost machines were replaced, %d of 4 tasks run", n)
+	}
+}
+
+func TestGangLosesATask(t *testing.T) {
+	for _, when := range []string{"before its start", "while it runs"} {
+		w := deployment(t, 4)
+		w.Run = 30 * second
+		if when == "before its start" {
+			w.Fetch = 8 * second
+		}
+		s := job(model.Gang, 3, func(s *model.Spec) { s.Need.CPU = 6; s.OneZone = true; s.Checkpoint = 5 * second; s.Save = second })
+		submit(t, w, s)
+		until(t, w, 60*second, "the tasks are on machines", func() bool {
+			n := 0
+			for _, k := range w.Workers {
+				for _, x := range k.Tasks {
+					if x.ID.Job == s.ID && x.Phase != model.Exited {
+						n++
+					}
+				}
+			}
+			return n == 3
+		})
+		if when == "while it runs" {
+			until(t, w, 60*second, "runs", func() bool { return on(w, s) == 3 })
+			w.Pass(2 * second)
+		}
+		for _, n := range w.names() {
+			if k := w.Workers[n]; len(k.Tasks) > 0 {
+				k.Cut = true
+				break
+			}
+		}
+		until(t, w, 200*second, "done although it lost a task "+when, done(t, w, s))
+	}
+}
+
+func TestRentalInDoubtIsNotRepeatedUnderAnotherName(t *testing.T) {
+	w := deployment(t, 0)
+	w.CloudMute = true
+	s := job(model.Array, 4, nil) // two machines' worth
+	submit(t, w, s)
+	w.Pass(4 * second)
+	rented := w.Rented()
+	if rented == 0 {
+		t.Fatal("nothing was rented")
+	}
+	w.Pass(10 * second)
+	w.CloudMute = false
+	until(t, w, 60*second, "done", done(t, w, s))
+	if w.Rented() != rented {
+		t.Errorf("%d machines rented where %d were enough", w.Rented(), rented)
+	}
+}
+
+func TestSickMachineIsGivenBack(t *testing.T) {
+	w := deployment(t, 2)
+	w.Fetch = 200 * time.Millisecond
+	sick := w.Workers["n-000001"]
+	sick.Sick = true
+	var all []*model.Spec
+	for range 3 {
+		s := job(model.Array, 3, nil)
+		all = append(all, s)
+		submit(t, w, s)
+	}
+	until(t, w, 60*second, "the sick machine is gone", func() bool { return w.Workers["n-000001"] == nil })
+	for _, s := range all {
+		until(t, w, 120*second, "done", done(t, w, s))
+	}
+}
+
+func TestJobThatAlwaysFailsCostsNoMachines(t *testing.T) {
+	w := deployment(t, 3)
+	w.Fetch = 200 * time.Millisecond
+	bad := job(model.Array, 3, nil)
+	w.Bad[bad.ID] = true
+	good := job(model.Array, 6, nil)
+	submit(t, w, bad)
+	submit(t, w, good)
+	until(t, w, 90*second, "the good job is done", done(t, w, good))
+	w.Pass(30 * second)
+	if l := w.Leader(); l != nil {
+		if st := state(t, l, bad.ID); st != wire.StateQueued {
+			t.Errorf("the job that fails is %v: it stays accepted until its user cancels it", st)
+		}
+	}
+	starts := 0
+	for i := range bad.Tasks {
+		starts += w.Starts[model.TaskID{Job: bad.ID, Index: i}]
+	}
+	if starts < 4 || starts > 40 {
+		t.Errorf("a job that always fails was started %d times in two minutes", starts)
+	}
+	if _, err := w.Cancel(w.Controllers[0], bad.ID); err != nil {
+		t.Fatal(err)
+	}
+	w.Pass(5 * second)
+}
+
+func TestNoticeMovesTasksThatCanSave(t *testing.T) {
+	w := deployment(t, 2)
+	w.Run = 60 * second
+	s := job(model.Array, 1, func(s *model.Spec) { s.Checkpoint = 10 * second; s.Save = second; s.Estimate = 60 * second })
+	submit(t, w, s)
+	until(t, w, 20*second, "runs", func() bool { return on(w, s) == 1 })
+	k := w.Workers[w.On(model.TaskID{Job: s.ID})[0]]
+	k.Notice = 10 * second
+	k.changed = true
+	until(t, w, 8*second, "runs on another machine", func() bool {
+		o := w.On(model.TaskID{Job: s.ID})
+		return len(o) == 1 && o[0] != k.Name
+	})
+}
+
+// Guards against a leader that resigns its lease silently: a controller that
+// comes back finds its own old lease and does not wait for it to run out.
+func TestRestartedLeaderDoesNotWaitForItsOwnLease(t *testing.T) {
+	w := deployment(t, 1)
+	l := w.Leader()
+	for _, c := range w.Controllers {
+		if c != l {
+			c.Crash()
+		}
+	}
+	l.Crash()
+	w.Pass(200 * time.Millisecond)
+	l.Start()
+	until(t, w, 2*second, "it leads again", func() bool { return w.Leader() == l })
+}
+
+func TestElectionRightEndsBeforeTheLeaseCan(t *testing.T) {
+	set := election.Settings{Member: "m", Life: 4 * second, Margin: 200 * time.Millisecond, Look: second, Retry: 250 * time.Millisecond}
+	m := election.New(set, quiet)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	m.Step(now, election.Tick{})
+	m.Step(now, election.Looked{})
+	sent := now
+	now = now.Add(3 * second) // a slow answer: the right counts from the sending
+	m.Step(now, election.Granted{Lease: 7, Sent: sent})
+	m.Step(now, election.Claimed{OK: true, Version: 9})
+	if !m.Entitled(now) {
+		t.Fatal("not entitled 3 s into a lease of 4 s")
+	}
+	if late := sent.Add(3900 * time.Millisecond); m.Entitled(late) {
+		t.Error("entitled within the margin of the lease's end")
+	}
+	m.Step(now, election.Touched{Lease: 7, Sent: now})
+	if !m.Entitled(now.Add(3500 * time.Millisecond)) {
+		t.Error("a renewal does not extend the right")
+	}
+}
--- /dev/null
+++ b/internal/fake/world.go
@@ -0,0 +1,486 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/rpc"
+	"github.com/glentiller/glentiller/internal/store"
+)
+
+// World is a deployment in memory: controllers, the state service, the cloud and
+// workers, in a time of its own. It checks the rules as time passes.
+type World struct {
+	now         time.Time
+	State       *State
+	Controllers []*Controller
+	Workers     map[string]*Worker
+	Types       []model.MachineType
+	Specs       map[string]*model.Spec
+	Done        map[model.TaskID]bool
+	Bad         map[string]bool // jobs whose tasks fail everywhere
+	Cancelled   map[string]time.Time
+	Teams       map[string]model.Team
+
+	Fetch, Run, Lease, ReportEvery, GangWait, Boot, CancelIn time.Duration
+
+	CloudMute bool // the cloud carries requests out, but its answers are lost
+	rented    map[string][]string
+	booting   map[string]bootingMachine
+	machines  int
+
+	Held   []func() // direct commands that the network holds back
+	Hold   bool     // hold direct commands back and give their senders up
+	Broken []string // rules that were broken
+	Starts map[model.TaskID]int
+	seen   map[string]bool
+}
+
+type bootingMachine struct {
+	model.Listed
+	at time.Time
+}
+
+// Controller is one controller of a world.
+type Controller struct {
+	w      *World
+	Member string
+	set    control.Settings
+	esets  election.Settings
+	log    *slog.Logger
+	Up     bool
+	NoNet  bool // cut off from the state service
+	State  *store.Client
+	Jobs   *store.Jobs
+	Elect  *election.Machine
+	Core   *control.Core
+	token  uint64
+	ver    uint64
+	rev    uint64
+	held   bool
+
+	changes []store.JobChange
+	later   []func()
+}
+
+// Call carries a controller's requests to the state service.
+func (c *Controller) Call(method, uri string, body []byte, d time.Duration) ([]byte, error) {
+	if c.NoNet {
+		return nil, &rpc.StatusError{Status: 503}
+	}
+	return c.w.State.Call(method, uri, body, d)
+}
+
+// NewWorld makes a deployment with n controllers, which work by the settings.
+func NewWorld(n int, set control.Settings, el election.Settings, log *slog.Logger) *World {
+	w := &World{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), Workers: map[string]*Worker{}, Specs: map[string]*model.Spec{},
+		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, Teams: map[string]model.Team{},
+		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
+		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{},
+		seen: map[string]bool{}}
+	w.State = NewState(func() time.Time { return w.now })
+	for _, t := range set.Teams {
+		w.Teams[t.Name] = t
+	}
+	for i := range n {
+		c := &Controller{w: w, Member: fmt.Sprintf("tiller-%d", i), set: set, esets: el, log: log}
+		c.set.Member, c.esets.Member = c.Member, c.Member
+		w.Controllers = append(w.Controllers, c)
+		c.Start()
+	}
+	return w
+}
+
+// Start starts a controller with nothing in memory.
+func (c *Controller) Start() {
+	c.Up, c.Core, c.held = true, nil, false
+	c.State = store.NewOver(c, c, time.Second)
+	c.State.SetRates(1e9, 1e9)
+	c.changes, c.later = nil, nil
+	c.Jobs = store.NewJobs(c.State, 1000, func(ch []store.JobChange) { c.changes = append(c.changes, ch...) }, c.log)
+	c.Elect = election.New(c.esets, c.log)
+}
+
+// Crash ends a controller without a word.
+func (c *Controller) Crash() { c.Up, c.Core = false, nil }
+
+// Leads tells whether the controller may act for all.
+func (c *Controller) Leads() bool { return c.Up && c.Core != nil && c.Elect.Entitled(c.w.now) }
+
+// Leader is the controller that may act, if there is one.
+func (w *World) Leader() *Controller {
+	var l *Controller
+	for _, c := range w.Controllers {
+		if c.Leads() {
+			if l != nil {
+				w.broken("two leaders: %s and %s", l.Member, c.Member)
+			}
+			l = c
+		}
+	}
+	return l
+}
+
+// Now is the world's time.
+func (w *World) Now() time.Time { return w.now }
+
+func (w *World) broken(format string, args ...any) {
+	if s := fmt.Sprintf(format, args...); !w.seen[s] {
+		w.seen[s] = true
+		w.Broken = append(w.Broken, s)
+	}
+}
+
+// Pass lets time pass.
+func (w *World) Pass(d time.Duration) {
+	const tick = 50 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(tick)
+		for name, b := range w.booting {
+			if !w.now.Before(b.at) {
+				delete(w.booting, name)
+				w.AddMachine(b.Listed)
+			}
+		}
+		for _, c := range w.Controllers {
+			c.step()
+		}
+		for _, name := range w.names() {
+			if k := w.Workers[name]; k != nil {
+				k.step()
+			}
+		}
+		w.check()
+	}
+}
+
+func (w *World) names() []string {
+	var names []string
+	for n := range w.Workers {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// AddMachine brings a machine up.
+func (w *World) AddMachine(l model.Listed) *Worker {
+	k := &Worker{w: w, Name: l.Machine, Type: l.Type, Zone: l.Zone, Spot: l.Spot, Session: 1, Tasks: map[model.AttemptKey]*Task{}, renewed: w.now}
+	w.Workers[l.Machine] = k
+	return k
+}
+
+// Submit has a job accepted by a controller.
+func (w *World) Submit(c *Controller, s *model.Spec) error {
+	w.Specs[s.ID] = s
+	_, _, err := c.Jobs.Accept(context.Background(), s, w.now)
+	return err
+}
+
+// Cancel cancels a job through a controller.
+func (w *World) Cancel(c *Controller, id string) (store.JobView, error) {
+	v, err := c.Jobs.Cancel(context.Background(), id)
+	if err == nil && v.State.Ended() && !w.allDone(id) {
+		w.Cancelled[id] = w.now
+	}
+	return v, err
+}
+
+func (w *World) allDone(id string) bool {
+	for i := range w.Specs[id].Tasks {
+		if !w.Done[model.TaskID{Job: id, Index: i}] {
+			return false
+		}
+	}
+	return true
+}
+
+// On lists the machines that a task is on.
+func (w *World) On(t model.TaskID) []string {
+	var on []string
+	for _, n := range w.names() {
+		for _, x := range w.Workers[n].Tasks {
+			if x.ID == t && x.On() {
+				on = append(on, n)
+			}
+		}
+	}
+	return on
+}
+
+// check looks for broken rules.
+func (w *World) check() {
+	on := map[model.TaskID]string{}
+	used := map[string]model.Resources{}
+	zones := map[string]map[string]int{}
+	for _, n := range w.names() {
+		k := w.Workers[n]
+		for _, t := range k.Tasks {
+			if !t.On() {
+				continue
+			}
+			if other, ok := on[t.ID]; ok {
+				w.broken("ran_twice: %v on %s and %s", t.ID, other, n)
+			}
+			on[t.ID] = n
+			used[t.Spec.Team] = used[t.Spec.Team].Add(t.Spec.Need)
+			if zones[t.ID.Job] == nil {
+				zones[t.ID.Job] = map[string]int{}
+			}
+			zones[t.ID.Job][k.Zone]++
+			if !t.Spec.Spot && k.Spot || !t.Spec.AllowsType(k.Type) {
+				w.broken("wrong_place: %v on %s", t.ID, n)
+			}
+			if at, ok := w.Cancelled[t.ID.Job]; ok && w.now.Sub(at) > w.CancelIn {
+				w.broken("ran_cancelled: %v on %s", t.ID, n)
+			}
+		}
+	}
+	for team, u := range used {
+		if !model.Within(u, w.Teams[team].Limit) {
+			w.broken("quota: %s uses %v", team, u)
+		}
+	}
+	for id, z := range zones {
+		s := w.Specs[id]
+		for zone, n := range z {
+			if s.Spread && n > s.ZoneCap() || s.OneZone && len(z) > 1 {
+				w.broken("wrong_place: %s has %d tasks in %s", id, n, zone)
+			}
+		}
+	}
+}
+
+// gangComplete tells whether all tasks of an attempt have their images.
+func (w *World) gangComplete(t *Task) bool {
+	n := 0
+	for _, k := range w.Workers {
+		for _, o := range k.Tasks {
+			if o.ID.Job == t.ID.Job && o.Try == t.Try && (o.Phase == model.Waiting || o.Phase == model.Running) {
+				n++
+			}
+		}
+	}
+	return n == t.Spec.Tasks
+}
+
+// gangWhole tells whether no task of a running attempt is missing.
+func (w *World) gangWhole(t *Task) bool {
+	n := 0
+	for _, k := range w.Workers {
+		for _, o := range k.Tasks {
+			if o.ID.Job == t.ID.Job && o.Try == t.Try && (o.Phase != model.Exited || o.Cause == model.CauseDone) {
+				n++
+			}
+		}
+	}
+	return n == t.Spec.Tasks
+}
+
+// --- controllers
+
+type verdict struct {
+	token  uint64
+	orders []model.Order
+}
+
+func (c *Controller) report(r *model.Report) (verdict, bool) {
+	if !c.Leads() {
+		return verdict{}, false
+	}
+	v := verdict{token: c.token}
+	for _, e := range c.act(control.ReportIn{Report: r}) {
+		if a, ok := e.(control.Answer); ok {
+			v.orders = a.Orders
+		}
+	}
+	return v, true
+}
+
+func (c *Controller) step() {
+	if !c.Up {
+		return
+	}
+	later := c.later
+	c.later = nil
+	for _, f := range later {
+		f()
+	}
+	c.election(election.Tick{})
+	if c.Elect.State() == election.Following {
+		if r, _, err := c.State.Look(context.Background()); err == nil && !r.Held {
+			c.election(election.Vacant{})
+		}
+	}
+	if c.Core == nil {
+		return
+	}
+	if c.Jobs.Loaded() && c.Jobs.CatchUp(context.Background()) == nil {
+		for _, ch := range c.changes {
+			if v := c.Jobs.Peek(ch.ID); v.Spec != nil {
+				c.act(control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
+			} else {
+				c.act(control.JobEnded{ID: ch.ID})
+			}
+		}
+		c.changes = nil
+	}
+	if c.Leads() {
+		if c.held {
+			c.Core.Resume(c.w.now)
+		}
+		c.act(control.Tick{})
+	}
+	c.held = c.Core != nil && !c.Leads()
+}
+
+func (c *Controller) election(ev election.Event) {
+	for _, e := range c.Elect.Step(c.w.now, ev) {
+		sent := c.w.now
+		switch e := e.(type) {
+		case election.Look:
+			r, _, err := c.State.Look(context.Background())
+			c.later = append(c.later, func() { c.election(election.Looked{Record: r, Err: err}) })
+		case election.Grant:
+			id, err := c.State.Grant(e.Life)
+			c.later = append(c.later, func() { c.election(election.Granted{Lease: id, Sent: sent, Err: err}) })
+		case election.Claim:
+			v, ok, err := c.State.Claim(context.Background(), c.Member, e)
+			c.later = append(c.later, func() { c.election(election.Claimed{OK: ok, Version: v, Err: err}) })
+		case election.Touch:
+			err := c.State.Touch(e.Lease)
+			c.later = append(c.later, func() {
+				c.election(election.Touched{Lease: e.Lease, Sent: sent, Lost: err == store.ErrLeaseOver, Err: err})
+			})
+		case election.Drop:
+			_ = c.State.Drop(e.Lease) // a lost drop only means waiting for the lease
+		case election.Elected:
+			c.token, c.ver = e.Token, e.TokenVersion
+			c.takeOver()
+		case election.Deposed:
+			c.Core = nil
+		}
+	}
+}
+
+func (c *Controller) takeOver() {
+	ctx := context.Background()
+	if err := c.Jobs.Refresh(ctx); err != nil {
+		c.later = append(c.later, c.takeOver)
+		return
+	}
+	done, machines, err := c.State.Records(ctx)
+	if err != nil {
+		c.later = append(c.later, c.takeOver)
+		return
+	}
+	snap := &control.Snapshot{Done: done, Machines: machines}
+	active, rev := c.Jobs.Active()
+	snap.Revision = rev
+	for _, v := range active {
+		snap.Jobs = append(snap.Jobs, control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
+	}
+	c.Core = control.New(c.w.now, c.set, c.token, snap, c.w.Types, c.log)
+	c.changes = nil
+}
+
+// act hands an event to the core and carries out the effects.
+func (c *Controller) act(ev control.Event) []control.Effect {
+	if c.Core == nil {
+		return nil
+	}
+	effects := append([]control.Effect(nil), c.Core.Step(c.w.now, ev)...)
+	core := c.Core
+	back := func(ev control.Event) {
+		c.later = append(c.later, func() {
+			if c.Core == core {
+				c.act(ev)
+			}
+		})
+	}
+	for _, e := range effects {
+		c.perform(e, back)
+	}
+	return effects
+}
+
+func (c *Controller) perform(e control.Effect, back func(control.Event)) {
+	w, token := c.w, c.token
+	switch e := e.(type) {
+	case control.Command:
+		ev := control.CommandBack{Machine: e.Machine, Session: e.Session, Orders: e.Orders, Outcome: control.Unknown}
+		deliver := func() (control.Outcome, *model.Report) {
+			k := w.Workers[e.Machine]
+			if k == nil {
+				return control.Unknown, nil
+			}
+			if token < k.Token || e.Session != k.Session {
+				return control.Refused, k.report()
+			}
+			k.accept(token)
+			k.Execute(e.Orders)
+			return control.OK, k.report()
+		}
+		k := w.Workers[e.Machine]
+		switch {
+		case w.Hold:
+			w.Held = append(w.Held, func() { deliver() })
+		case k != nil && !k.Cut && c.Leads():
+			ev.Outcome, ev.Report = deliver()
+		}
+		back(ev)
+	case control.Rent:
+		names := w.rented[e.Rental.Name]
+		if names == nil {
+			for range e.Rental.Count {
+				w.machines++
+				n := fmt.Sprintf("n-%06d", w.machines)
+				names = append(names, n)
+				w.booting[n] = bootingMachine{model.Listed{Machine: n, Type: e.Rental.Type, Zone: e.Rental.Zone, Spot: e.Rental.Spot}, w.now.Add(w.Boot)}
+			}
+			w.rented[e.Rental.Name] = names
+		}
+		if w.CloudMute {
+			back(control.RentBack{Rental: e.Rental, Outcome: control.Unknown})
+		} else {
+			back(control.RentBack{Rental: e.Rental, Outcome: control.OK, Machines: names})
+		}
+	case control.Return:
+		for _, n := range e.Machines {
+			delete(w.Workers, n)
+			delete(w.booting, n)
+		}
+		back(control.ReturnBack{Machines: e.Machines, Outcome: control.OK})
+	case control.List:
+		var list []model.Listed
+		for _, n := range w.names() {
+			k := w.Workers[n]
+			list = append(list, model.Listed{Machine: n, Addr: n, Type: k.Type, Zone: k.Zone, Spot: k.Spot})
+		}
+		back(control.ListIn{Machines: list, Asked: w.now})
+	case control.Catalog:
+		back(control.CatalogIn{Types: w.Types})
+	case control.Commit:
+		ok, err := c.State.Save(context.Background(), c.ver, e.Saves)
+		ev := control.SaveBack{Saves: e.Saves, Outcome: control.OK}
+		switch {
+		case err != nil:
+			ev.Outcome = control.NotSent
+		case !ok:
+			ev.Outcome = control.Refused
+			if last, err := c.State.StillLast(context.Background(), c.ver); err == nil && !last {
+				c.election(election.Fenced{Token: token})
+			}
+		}
+		back(ev)
+	}
+}
+
+// Rented tells how many machines were ever rented.
+func (w *World) Rented() int { return w.machines }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -290,7 +290,7 @@
 	n.spawn(func() {
 		for n.ctx.Err() == nil {
 			snap := &control.Snapshot{}
-			err := n.jobs.Sync(n.ctx)
+			err := n.jobs.Refresh(n.ctx)
 			if err == nil {
 				snap.Done, snap.Machines, err = n.state.Records(n.ctx)
 			}
--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -208,6 +208,17 @@
 	}
 }
 
+// Refresh reads the view if it has not been read yet, and brings it up to the
+// present.
+func (j *Jobs) Refresh(ctx context.Context) error {
+	if !j.Loaded() {
+		if err := j.load(ctx); err != nil {
+			return err
+		}
+	}
+	return j.CatchUp(ctx)
+}
+
 // Loaded tells whether the view has been read.
 func (j *Jobs) Loaded() bool {
 	j.mu.Lock()
@@ -271,7 +282,7 @@
 func (j *Jobs) syncLoop() {
 	for {
 		j.mu.Lock()
-		b, rev := j.batch, j.rev
+		b := j.batch
 		j.batch = nil
 		if b == nil {
 			j.busy = false
@@ -279,16 +290,24 @@
 			return
 		}
 		j.mu.Unlock()
-		p, err := j.c.Changes(context.Background(), jobPrefix, rev, 0)
-		if err == nil {
-			j.apply(p)
-		}
-		b.err = j.failed(err)
+		b.err = j.CatchUp(context.Background())
 		close(b.done)
 		time.Sleep(syncPause)
 	}
 }
 
+// CatchUp reads and applies the changes since the view's revision.
+func (j *Jobs) CatchUp(ctx context.Context) error {
+	j.mu.Lock()
+	rev := j.rev
+	j.mu.Unlock()
+	p, err := j.c.Changes(ctx, jobPrefix, rev, 0)
+	if err == nil {
+		j.apply(p)
+	}
+	return j.failed(err)
+}
+
 // Lookup tells the present state of a job. A final state that is remembered is
 // answered at once; anything else is brought up to the present.
 func (j *Jobs) Lookup(ctx context.Context, id string) (JobView, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,9 +25,16 @@
 	ErrBusy        = errors.New("the budget for requests is spent")
 )
 
+// Transport carries one request to the state service: the network, or a
+// stand-in for it. It returns the body of a 200; any other answer is an
+// *rpc.StatusError.
+type Transport interface {
+	Call(method, uri string, body []byte, timeout time.Duration) ([]byte, error)
+}
+
 // Client talks to the state service within a budget of requests and of changes.
 type Client struct {
-	calls, watches *rpc.Client
+	calls, watches Transport
 	reads, writes  *rate.Limiter
 	timeout        time.Duration
 	Health         rpc.Health
@@ -35,7 +42,12 @@
 
 // New makes a client. The rates are this controller's share.
 func New(addr string, timeout time.Duration) *Client {
-	return &Client{calls: rpc.New(addr, 48), watches: rpc.New(addr, 8), timeout: timeout,
+	return NewOver(rpc.New(addr, 48), rpc.New(addr, 8), timeout)
+}
+
+// NewOver makes a client over given transports, one of them for watches.
+func NewOver(calls, watches Transport, timeout time.Duration) *Client {
+	return &Client{calls: calls, watches: watches, timeout: timeout,
 		reads: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 5)}
 }
 
