--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func example(t *testing.T, name string) string {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("..", "..", "deploy", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestContradictorySettingsAreNamed(t *testing.T) {
+	good := example(t, "example.toml")
+	if _, err := ReadPlatform(write(t, "good.toml", good+"\n[new_section]\nx = 1\n")); err != nil {
+		t.Fatalf("fields that are not known must be ignored: %v", err)
+	}
+	for change, want := range map[string]string{
+		"lease_s = 12.0 -> lease_s = 1.0":               "lease_s must be above report_s",
+		"cpus_max = 256.0 -> cpus_max = 1.0":            "the guarantee is above the limit",
+		`member = "tiller-1" -> member = "tiller-0"`:    "missing or taken",
+		`front = "127.0.0.1:18080" -> front = "host:1"`: "front: ",
+		"nodes = 2 -> nodes = 5":                        "deployment.nodes",
+		"rps = 200.0 -> rps = 0.0":                      "deployment.state.rps",
+		"cpus = 64.0 -> cpus = nan":                     "not a number of 0 or more",
+		`zones = ["north", "south"] -> zones = []`:      "deployment.zones",
+	} {
+		from, to, _ := strings.Cut(change, " -> ")
+		bad := strings.Replace(good, from, to, 1)
+		if bad == good {
+			t.Fatalf("%q changes nothing", change)
+		}
+		if _, err := ReadPlatform(write(t, "bad.toml", bad)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v, want %q", change, err, want)
+		}
+	}
+}
+
+// The sample that operators start from explains every setting and holds the
+// defaults: reading it changes nothing.
+func TestSampleOperatorSettingsAreTheDefaults(t *testing.T) {
+	sample := example(t, "operator.xml")
+	o, err := parseOperator([]byte(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Defaults()
+	o.XMLName = want.XMLName
+	if !reflect.DeepEqual(o, want) {
+		t.Errorf("the sample says\n%+v\nthe defaults are\n%+v", o, want)
+	}
+	var check func(v reflect.Type)
+	check = func(v reflect.Type) {
+		for i := range v.NumField() {
+			f := v.Field(i)
+			tag := f.Tag.Get("xml")
+			if tag == "" || strings.HasPrefix(tag, ",") || f.Name == "XMLName" {
+				continue
+			}
+			if !strings.Contains(sample, "<"+tag+">") {
+				t.Errorf("the sample does not show <%s>", tag)
+			}
+			if f.Type.Kind() == reflect.Struct {
+				check(f.Type)
+			}
+		}
+	}
+	check(reflect.TypeOf(*want))
+}
+
+func TestOperatorSettingsAreStrict(t *testing.T) {
+	for text, want := range map[string]string{
+		"<glentiller><fleet><keep-idel>1s</keep-idel></fleet></glentiller>":                      "keep-idel",
+		"<glentiller><flete/></glentiller>":                                                      "flete",
+		`<glentiller version="2"></glentiller>`:                                                  "version",
+		"<glentiller><leadership><lease>4</lease></leadership></glentiller>":                     "missing unit",
+		"<glentiller><leadership><lease>4s</lease><margin>3s</margin></leadership></glentiller>": "leadership/margin",
+		"<glentiller></glentiller><more/>":                                                       "behind",
+		"<glentiller>":                                                                           "EOF",
+		"<other/>":                                                                               "other",
+	} {
+		if _, err := parseOperator([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v, want %q", text, err, want)
+		}
+	}
+	o, err := parseOperator([]byte("<glentiller><fleet><keep-idle>90s</keep-idle></fleet></glentiller>\n"))
+	if err != nil || o.Fleet.KeepIdle.D() != 90*time.Second || o.Scheduler.Overtake != Defaults().Scheduler.Overtake {
+		t.Errorf("one setting alone: %+v, %v", o, err)
+	}
+}
