Controllers talk protobuf: relayed reports, progress for display

Cause: in a zone cut workers that do not reach the leader lost their leases although a third controller reached both.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,9 @@
 type Backend interface {
 	// Report takes a worker's report.
 	Report(ctx context.Context, r *model.Report) Verdict
+	// Relay hands a worker's report to the leader, if the worker seems not to
+	// reach it; ok is false where that did not work or is not needed.
+	Relay(ctx context.Context, machine string, report []byte) (answer []byte, ok bool)
 	// Progress tells how far an unfinished job is, for display.
 	Progress(id string) (done, running int)
 	// Types are the machine types; empty: not known yet.
@@ -48,8 +51,6 @@
 	Team(name string) *model.Team
 	// Healthy tells whether this controller can take requests.
 	Healthy() bool
-	// StateDown tells since when the state service has not answered.
-	StateDown() time.Duration
 }
 
 // Settings are the front's.
@@ -328,5 +329,9 @@
 		s.unavailable(c, "the right to act has lapsed")
 		return
 	}
+	if body, ok := s.back.Relay(ctx, r.Machine, c.PostBody()); ok {
+		s.reply(c, fasthttp.StatusOK, body)
+		return
+	}
 	s.reply(c, fasthttp.StatusMisdirectedRequest, wire.AppendLeader(nil, v.Leader))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/glentiller/glentiller/internal/election"
 	"github.com/glentiller/glentiller/internal/front"
 	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/peer"
 	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/worker"
 )
@@ -36,6 +37,8 @@
 	cloud   *cloud.Client
 	workers *worker.Client
 	front   *front.Server
+	peers   map[string]*peer.Client
+	relays  relays
 	teams   map[string]*model.Team
 
 	group *errgroup.Group
@@ -84,6 +87,10 @@
 		conns = 1000
 	}
 	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns * 2 / 3}, n.jobs, n, time.Now, log)
+	n.peers = map[string]*peer.Client{}
+	for _, m := range p.Members {
+		n.peers[m.Member] = peer.NewClient(m.Addr)
+	}
 	n.share(false)
 	return n
 }
@@ -117,6 +124,10 @@
 	if err != nil {
 		return err
 	}
+	back, err := net.Listen("tcp4", n.plat.Back)
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
 	n.group, n.ctx = errgroup.WithContext(ctx)
 	n.group.Go(func() error {
 		if err := n.front.Serve(l); err != nil {
@@ -126,8 +137,10 @@
 	})
 	n.group.Go(func() error {
 		<-n.ctx.Done()
-		return errors.Join(l.Close(), n.front.Shutdown())
+		return errors.Join(l.Close(), back.Close(), n.front.Shutdown())
 	})
+	n.group.Go(func() error { return peer.Serve(n.ctx, back, relayed{n}) })
+	n.group.Go(func() error { return n.tellProgress() })
 	n.group.Go(func() error { return n.loop() })
 	n.group.Go(func() error { return n.jobs.Run(n.ctx) })
 	n.group.Go(func() error { return n.watchLeader() })
@@ -560,6 +573,3 @@
 
 // Healthy tells whether this controller can take requests.
 func (n *Node) Healthy() bool { return n.jobs.Loaded() && len(n.Types()) > 0 }
-
-// StateDown tells since when the state service has not answered.
-func (n *Node) StateDown() time.Duration { return n.state.Health.Down(time.Now()) }
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,222 @@
+// Package peer carries protobuf messages between controllers over TCP.
+package peer
+
+//go:generate protoc -I peerpb --go_out=peerpb --go_opt=paths=source_relative peerpb/peer.proto
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/glentiller/glentiller/internal/peer/peerpb"
+)
+
+// Handler is what a controller does with messages of the others.
+type Handler interface {
+	// Relay answers a worker's report that another controller hands over.
+	Relay(ctx context.Context, report []byte) *peerpb.RelayAnswer
+	// Progress takes what the leader tells for display.
+	Progress(p *peerpb.Progress)
+}
+
+const (
+	dialTimeout  = time.Second
+	writeTimeout = 2 * time.Second
+	idleTimeout  = time.Minute
+	maxMessage   = 1 << 20
+	maxRelays    = 64 // at once, for each connection
+)
+
+// Serve answers the other controllers until the listener is closed.
+func Serve(ctx context.Context, l net.Listener, h Handler) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			var ne net.Error
+			if errors.As(err, &ne) {
+				time.Sleep(100 * time.Millisecond) // out of sockets for a moment
+				continue
+			}
+			return err
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			serve(ctx, c, h)
+		}()
+	}
+}
+
+func serve(ctx context.Context, c net.Conn, h Handler) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	defer c.Close()
+	var mu sync.Mutex
+	room := make(chan struct{}, maxRelays)
+	r := bufio.NewReader(c)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
+		e := &peerpb.Envelope{}
+		if err := (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(r, e); err != nil {
+			return
+		}
+		switch b := e.Body.(type) {
+		case *peerpb.Envelope_Progress:
+			h.Progress(b.Progress)
+		case *peerpb.Envelope_Relay:
+			select {
+			case room <- struct{}{}:
+			default:
+				continue // the other side's wait runs out; the worker tries again
+			}
+			go func() {
+				defer func() { <-room }()
+				a := h.Relay(ctx, b.Relay.GetReport())
+				mu.Lock()
+				defer mu.Unlock()
+				if write(c, &peerpb.Envelope{Id: e.GetId(), Body: &peerpb.Envelope_RelayAnswer{RelayAnswer: a}}) != nil {
+					_ = c.Close()
+				}
+			}()
+		}
+	}
+}
+
+func write(c net.Conn, e *peerpb.Envelope) error {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := protodelim.MarshalTo(c, e)
+	return err
+}
+
+// Client talks to one other controller over one connection, which it makes when
+// it needs it.
+type Client struct {
+	addr string
+
+	mu      sync.Mutex
+	conn    net.Conn
+	dialing bool
+	next    uint64
+	waiting map[uint64]chan *peerpb.RelayAnswer
+}
+
+// NewClient makes a client.
+func NewClient(addr string) *Client {
+	return &Client{addr: addr, waiting: map[uint64]chan *peerpb.RelayAnswer{}}
+}
+
+var errBusy = errors.New("a connection is being made")
+
+// connect returns the connection. Only one caller at a time makes one; the
+// others are turned away meanwhile, rather than queued behind a dead address.
+func (c *Client) connect() (net.Conn, error) {
+	c.mu.Lock()
+	if c.conn != nil || c.dialing {
+		defer c.mu.Unlock()
+		if c.conn == nil {
+			return nil, errBusy
+		}
+		return c.conn, nil
+	}
+	c.dialing = true
+	c.mu.Unlock()
+	conn, err := net.DialTimeout("tcp4", c.addr, dialTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialing = false
+	if err != nil {
+		return nil, err
+	}
+	c.conn = conn
+	go c.read(conn)
+	return conn, nil
+}
+
+func (c *Client) read(conn net.Conn) {
+	r := bufio.NewReader(conn)
+	for {
+		e := &peerpb.Envelope{}
+		if err := (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(r, e); err != nil {
+			c.drop(conn)
+			return
+		}
+		c.mu.Lock()
+		ch := c.waiting[e.GetId()]
+		delete(c.waiting, e.GetId())
+		c.mu.Unlock()
+		if a := e.GetRelayAnswer(); ch != nil && a != nil {
+			ch <- a
+		}
+	}
+}
+
+func (c *Client) drop(conn net.Conn) {
+	_ = conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+}
+
+func (c *Client) send(e *peerpb.Envelope) error {
+	conn, err := c.connect()
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	err = write(conn, e)
+	c.mu.Unlock()
+	if err != nil {
+		c.drop(conn)
+	}
+	return err
+}
+
+// Relay hands a worker's report to this controller and waits for its answer.
+func (c *Client) Relay(ctx context.Context, report []byte) (*peerpb.RelayAnswer, error) {
+	ch := make(chan *peerpb.RelayAnswer, 1)
+	c.mu.Lock()
+	c.next++
+	id := c.next
+	c.waiting[id] = ch
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.waiting, id)
+		c.mu.Unlock()
+	}()
+	if err := c.send(&peerpb.Envelope{Id: id, Body: &peerpb.Envelope_Relay{Relay: &peerpb.Relay{Report: report}}}); err != nil {
+		return nil, err
+	}
+	select {
+	case a := <-ch:
+		return a, nil
+	case <-ctx.Done():
+		// A connection that does not answer may be dead without a word.
+		c.mu.Lock()
+		conn := c.conn
+		c.mu.Unlock()
+		if conn != nil {
+			c.drop(conn)
+		}
+		return nil, ctx.Err()
+	}
+}
+
+// Progress tells this controller how far jobs are.
+func (c *Client) Progress(p *peerpb.Progress) error {
+	return c.send(&peerpb.Envelope{Body: &peerpb.Envelope_Progress{Progress: p}})
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -94,27 +93,3 @@
 	}
 	return out, nil
 }
-
-// Health keeps count of how a service has answered of late.
-type Health struct {
-	okAt, badAt atomic.Int64
-}
-
-// Note records the outcome of a request. An answer of any kind but 503 shows
-// that the service is there.
-func (h *Health) Note(err error) {
-	if err == nil || Status(err) != 0 && Status(err) != fasthttp.StatusServiceUnavailable {
-		h.okAt.Store(time.Now().UnixNano())
-	} else {
-		h.badAt.Store(time.Now().UnixNano())
-	}
-}
-
-// Down tells since when the service has not answered; 0: it answers.
-func (h *Health) Down(now time.Time) time.Duration {
-	ok, bad := h.okAt.Load(), h.badAt.Load()
-	if bad <= ok {
-		return 0
-	}
-	return now.Sub(time.Unix(0, ok))
-}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -37,7 +37,6 @@
 	calls, watches Transport
 	reads, writes  *rate.Limiter
 	timeout        time.Duration
-	Health         rpc.Health
 }
 
 // New makes a client. The rates are this controller's share.
@@ -74,9 +73,7 @@
 }
 
 func (c *Client) call(method, uri string, body []byte) ([]byte, error) {
-	out, err := c.calls.Call(method, uri, body, c.timeout)
-	c.Health.Note(err)
-	return out, err
+	return c.calls.Call(method, uri, body, c.timeout)
 }
 
 // Get reads one key; ok tells whether it exists.
@@ -141,9 +138,6 @@
 		cl = c.watches
 	}
 	out, err := cl.Call(fasthttp.MethodGet, uri, nil, wait+c.timeout)
-	if wait == 0 || err == nil || rpc.Status(err) != 0 {
-		c.Health.Note(err)
-	}
 	if rpc.Status(err) == fasthttp.StatusGone {
 		return wire.Page{}, ErrTooOld
 	}
