Fleet: rent nothing for what likely becomes free within a boot time

Cause: bursts rented machines that came up when the running tasks had made room. Kept for all but production.

--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -29,7 +29,7 @@
 		Sched: sched.Settings{IdleShare: o.Scheduler.IdlePower, Overtake: o.Scheduler.Overtake.D(), OvertakeLate: o.Scheduler.OvertakeLate.D(), MaxPreempt: o.Scheduler.PreemptMost,
 			MinRun: o.Scheduler.MinRun.D(), ImageFirst: o.Scheduler.ImageFirst, Tight: o.Scheduler.Tight.D(), Dear: o.Scheduler.Dear, PreemptWithin: o.Scheduler.PreemptGuarantees},
 		Fleet: fleet.Settings{KeepIdle: o.Fleet.KeepIdle.D(), KeepBoots: o.Fleet.KeepBoots, LeastPaid: o.Fleet.LeastPaid.D(), KeepSpot: o.Fleet.KeepSpot, BootFactor: o.Fleet.BootFactor,
-			BootExtra: o.Fleet.BootExtra.D(), Refused: o.Fleet.Refused.D(), MaxRent: 50},
+			BootExtra: o.Fleet.BootExtra.D(), Refused: o.Fleet.Refused.D(), SoonBoots: o.Fleet.SoonBoots, MaxRent: 50},
 		LeaseMargin: o.Workers.LeaseMargin.D(), Pass: o.Scheduler.Pass.D(), Flush: o.Scheduler.Flush.D(),
 		ListEvery: o.Fleet.List.D(), CatalogEvery: o.Fleet.Catalog.D(),
 		SilentAfter: silent, SilentShare: o.Workers.SilentShare,
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -88,6 +88,7 @@
 		}
 		nd := &sched.Node{Machine: m, Free: m.Free()}
 		open := c.placeable(now, m)
+		var soon model.Resources
 		for _, a := range m.Rows {
 			if !a.Holds() {
 				continue
@@ -103,6 +104,9 @@
 			if !open {
 				continue
 			}
+			if c.endsSoon(now, a) {
+				soon = soon.Add(a.Need)
+			}
 			if a.State == model.Stopping {
 				nd.Freeing = nd.Freeing.Add(a.Need)
 			} else if strict && a.Job.State == model.JobActive {
@@ -112,6 +116,10 @@
 		if open {
 			nd.ForGPU = c.forGPU(m.Type, m.Spot)
 			p.Nodes = append(p.Nodes, nd)
+			if soon != (model.Resources{}) {
+				soon = soon.Add(nd.Free)
+				coming = append(coming, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Soon: &soon})
+			}
 		}
 	}
 	for t := range c.teams {
@@ -125,6 +133,22 @@
 	return p, coming
 }
 
+// endsSoon tells whether an attempt has likely ended by the time that a machine
+// like its own would be up.
+func (c *Core) endsSoon(now time.Time, a *model.Attempt) bool {
+	if a.State == model.Stopping {
+		return true
+	}
+	if a.RunningAt.IsZero() || a.Job.Spec.Shape == model.Service {
+		return false
+	}
+	left := a.Job.Spec.Estimate - now.Sub(a.RunningAt)
+	if left < 0 {
+		left = a.Job.Spec.Estimate / 2 // it takes longer than its owner thought
+	}
+	return left < time.Duration(c.set.Fleet.SoonBoots*float64(a.Machine.Type.Boot))
+}
+
 // victim describes an attempt that might be stopped to make room.
 func (c *Core) victim(now time.Time, a *model.Attempt, guaranteed bool) sched.Running {
 	s := a.Job.Spec
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	BootFactor float64       // a machine that takes longer than this many boot times is replaced
 	BootExtra  time.Duration // plus this
 	Refused    time.Duration // a refused kind of machine is asked for again after this
+	SoonBoots  float64       // nothing is rented for what likely becomes free within this many boot times
 	MaxRent    int           // machines in one request
 }
 
@@ -37,11 +38,13 @@
 	For   string
 }
 
-// Coming is a machine that is booting or on order.
+// Coming is room that comes without renting: a machine that is booting or on
+// order, or the part of one that is up which is likely free within a boot time.
 type Coming struct {
 	Type *model.MachineType
 	Zone string
 	Spot bool
+	Soon *model.Resources // of a machine that is up; nil: the whole machine
 	free model.Resources
 }
 
@@ -91,7 +94,9 @@
 // was not refused lately is asked for.
 func Rent(s *Settings, now time.Time, v *View, lacking []sched.Shortage) []Ask {
 	for _, c := range v.Coming {
-		c.free = c.Type.Cap
+		if c.free = c.Type.Cap; c.Soon != nil {
+			c.free = *c.Soon
+		}
 	}
 	var asks []Ask
 	for _, l := range lacking {
@@ -105,7 +110,7 @@
 			zones[z] = k
 		}
 		for ; n > 0; n-- {
-			if !fillComing(v, spec, zones) {
+			if !fillComing(v, spec, zones, l.Want.Urgent()) {
 				break
 			}
 		}
@@ -157,9 +162,9 @@
 	return nil
 }
 
-func fillComing(v *View, spec *model.Spec, zones map[string]int) bool {
+func fillComing(v *View, spec *model.Spec, zones map[string]int, urgent bool) bool {
 	for _, c := range v.Coming {
-		if c.Spot && !spec.Spot || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
+		if urgent && c.Soon != nil || c.Spot && !spec.Spot || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
 			continue
 		}
 		if spec.Need.GPU == 0 && v.ForGPU(c.Type, c.Spot) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -105,6 +105,9 @@
 	return 2
 }
 
+// Urgent tells that the want is not to wait for what may become free.
+func (w *Want) Urgent() bool { return w.Job.Spec.Rank == model.Production }
+
 // The lanes of the design's order inside a tier.
 const (
 	laneOvertake = iota // waited so long that it passes ahead
