Zone cuts: relay at first contact, guard by zone, record machines once up

Now followers hand a report on at once, name no leader out of their own reach, a zone that falls silent as a whole is left to its leases, and a machine gets its record when it is up.

--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -19,7 +19,6 @@
 		// A machine that nobody here rented. No leader launches anything on a
 		// machine without a record, so it holds nothing.
 		m = c.newMachine(now, model.Listed{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, model.Booting)
-		c.register(m)
 		c.log.Info("unexpected machine reports", "machine", m.Name, "type", r.Type, "zone", r.Zone)
 	}
 	if r.Session <= m.DeadSession || r.Session < m.Session {
@@ -79,6 +78,9 @@
 		}
 	}
 	if m.State == model.Booting && m.Set(now, model.Ready, "") {
+		// Only now it gets a record: a machine that still boots holds nothing, and
+		// a new leader need not wait for it to say so.
+		c.register(m)
 		m.EmptySince = now
 		c.dirty = true
 		c.log.Info("machine is up", "machine", m.Name, "type", m.Type.Name, "zone", m.Zone, "spot", m.Spot)
@@ -485,15 +487,7 @@
 // sweep looks after what time brings: leases that run out, machines that do not
 // come up, fall silent or stand empty.
 func (c *Core) sweep(now time.Time) {
-	silent, up := 0, 0
-	for _, m := range c.machines {
-		if m.State == model.Ready || m.State == model.Draining || m.State == model.Unsettled {
-			up++
-			if now.Sub(m.LastReport) > c.set.SilentAfter {
-				silent++
-			}
-		}
-	}
+	quiet := c.quietZones(now)
 	var back []string
 	giveBack := func(m *model.Machine, why string) {
 		if len(back) < maxReturn && m.Set(now, model.Returning, why) {
@@ -517,7 +511,7 @@
 			}
 		case model.Ready, model.Unsettled, model.Draining:
 			switch {
-			case now.Sub(m.LastReport) > c.set.SilentAfter && now.After(c.resumeAt) && (silent <= 1 || float64(silent) <= c.set.SilentShare*float64(up)):
+			case now.Sub(m.LastReport) > c.set.SilentAfter && now.After(c.resumeAt) && !quiet[m.Zone] && !quiet[anyZone]:
 				giveBack(m, "silent")
 			case m.Unsure || m.Holding > 0:
 			case m.State == model.Draining:
@@ -557,6 +551,31 @@
 	}
 }
 
+// anyZone stands for all zones together.
+const anyZone = ""
+
+// quietZones tells the zones of which so many machines are silent at once that a
+// cut is likelier than their death. Guards against giving back healthy machines
+// whose workers are about to find a way round a cut.
+func (c *Core) quietZones(now time.Time) map[string]bool {
+	silent, up := map[string]int{}, map[string]int{}
+	for _, m := range c.machines {
+		if m.State == model.Ready || m.State == model.Draining || m.State == model.Unsettled {
+			up[m.Zone]++
+			up[anyZone]++
+			if now.Sub(m.LastReport) > c.set.SilentAfter/2 {
+				silent[m.Zone]++
+				silent[anyZone]++
+			}
+		}
+	}
+	quiet := map[string]bool{}
+	for z, n := range silent {
+		quiet[z] = n > 1 && float64(n) > c.set.SilentShare*float64(up[z])
+	}
+	return quiet
+}
+
 const (
 	maxReturn   = 100 // machines in one request
 	returnRetry = 5 * time.Second
@@ -586,7 +605,6 @@
 		}
 		m := c.newMachine(now, model.Listed{Machine: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, model.Booting)
 		m.Rented = now
-		c.register(m)
 	}
 	c.dirty = true
 }
@@ -639,7 +657,6 @@
 			}
 			m = c.newMachine(now, l, model.Booting)
 			m.Since, m.Rented = now.Add(-l.Age), now.Add(-l.Age)
-			c.register(m)
 			c.log.Info("unexpected machine is listed", "machine", l.Machine, "type", l.Type, "zone", l.Zone)
 		}
 		if m.Addr == "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,9 @@
 	leader   atomic.Pointer[string]
 	types    atomic.Pointer[[]model.MachineType]
 	progress atomic.Pointer[map[string][2]int]
+
+	heard       atomic.Pointer[heard]
+	leaderSince atomic.Pointer[time.Time] // when the present leader became known
 }
 
 // right is the right to act, as it was last renewed.
@@ -261,7 +264,9 @@
 	}
 	n.right.Store(r)
 	leader := n.elect.Leader()
-	n.leader.Store(&leader)
+	if old := n.leader.Swap(&leader); old == nil || *old != leader {
+		n.leaderSince.Store(&now)
+	}
 }
 
 // election hands an event to the election.
@@ -516,7 +521,7 @@
 		leader = *p
 	}
 	if cur := n.right.Load(); !cur.holds() {
-		return front.Verdict{Act: leader == n.plat.Member, Leader: leader, Valid: never}
+		return front.Verdict{Act: leader == n.plat.Member, Leader: n.redirect(leader, time.Now()), Valid: never}
 	}
 	answer := make(chan front.Verdict, 1)
 	f := func(now time.Time) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -10,24 +10,39 @@
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
-// relays remembers which workers were sent to the leader and came back: those
-// do not reach it, so their reports are handed on.
+// relays remembers which workers came here instead of to the leader. Their
+// reports are handed on, so that their leases hold, and after a moment they are
+// sent to the leader. Those that come back soon do not reach it: theirs are
+// handed on for longer.
 type relays struct {
 	mu sync.Mutex
 	by map[string]*relay
 }
 
 type relay struct {
-	sent  time.Time // when it was last sent to the leader
-	since time.Time // since when its reports are handed on; zero: they are not
+	state relayState
+	since time.Time
 }
 
+// relayState is where a worker stands that came here.
+type relayState uint8
+
+const (
+	relayFirst relayState = iota + 1 // it has just come
+	relaySent                        // it was sent to the leader
+	relayLong                        // it came back
+)
+
 const (
-	backSoon  = 10 * time.Second // a worker that is back so soon did not reach the leader
-	relayTime = 45 * time.Second // then it is sent to the leader again, to try
+	firstTime = 3 * time.Second  // handing on before a worker is sent to the leader
+	backSoon  = 10 * time.Second // a worker that is back so soon did not reach it
+	longTime  = 45 * time.Second // then it is sent again, to try
 	relayWait = 1500 * time.Millisecond
 )
 
+// to changes the state; it is the only place that does.
+func (e *relay) to(s relayState, now time.Time) { e.state, e.since = s, now }
+
 // due tells whether a worker's report is to be handed on.
 func (r *relays) due(machine string, now time.Time) bool {
 	r.mu.Lock()
@@ -35,24 +50,28 @@
 	if r.by == nil {
 		r.by = map[string]*relay{}
 	}
-	for m, e := range r.by {
-		if now.Sub(e.sent) > 2*relayTime {
-			delete(r.by, m)
+	e := r.by[machine]
+	if e == nil {
+		for m, old := range r.by {
+			if now.Sub(old.since) > 2*longTime {
+				delete(r.by, m)
+			}
 		}
+		e = &relay{}
+		r.by[machine] = e
 	}
-	e := r.by[machine]
+	age := now.Sub(e.since)
 	switch {
-	case e == nil:
-		r.by[machine] = &relay{sent: now}
+	case e.state == relaySent && age < backSoon:
+		e.to(relayLong, now)
+	case e.state == relayFirst && age < firstTime, e.state == relayLong && age < longTime:
+	case e.state == relayFirst, e.state == relayLong && age < 2*longTime:
+		e.to(relaySent, now)
 		return false
-	case e.since.IsZero() && now.Sub(e.sent) < backSoon:
-		e.since = now
-		return true
-	case !e.since.IsZero() && now.Sub(e.since) < relayTime:
-		return true
+	default:
+		e.to(relayFirst, now)
 	}
-	*e = relay{sent: now}
-	return false
+	return true
 }
 
 // failed has a worker sent on next time.
@@ -66,7 +85,7 @@
 // it. Workers take an answer with the leader's token from any controller.
 func (n *Node) Relay(ctx context.Context, machine string, report []byte) ([]byte, bool) {
 	leader := n.leader.Load()
-	if leader == nil || n.peers[*leader] == nil || !n.relays.due(machine, time.Now()) {
+	if leader == nil || n.peers[*leader] == nil || n.redirect(*leader, time.Now()) == "" || !n.relays.due(machine, time.Now()) {
 		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayWait)
@@ -98,8 +117,10 @@
 	return &peerpb.RelayAnswer{Act: true, Body: wire.AppendReportAnswer(nil, v.Token, v.Orders)}
 }
 
-// Progress takes what the leader tells for display.
+// Progress takes what the leader tells for display. It also shows that the
+// leader is within reach.
 func (h relayed) Progress(p *peerpb.Progress) {
+	h.n.heard.Store(&heard{p.GetMember(), time.Now()})
 	if h.n.right.Load().holds() {
 		return // this controller leads and knows better
 	}
@@ -115,6 +136,27 @@
 	n.progress.Store(&m)
 }
 
+// heard is when a leader has last told anything.
+type heard struct {
+	leader string
+	at     time.Time
+}
+
+// outOfReach is how long a leader may tell nothing before it counts as out of
+// this controller's reach.
+const outOfReach = 3 * time.Second
+
+// redirect names the leader to a worker, unless the leader is out of reach of
+// this controller: then it likely is for workers nearby too, and they had better
+// try another controller, which may hand their reports on.
+func (n *Node) redirect(leader string, now time.Time) string {
+	h, since := n.heard.Load(), n.leaderSince.Load()
+	if since == nil || now.Sub(*since) < outOfReach || h != nil && h.leader == leader && now.Sub(h.at) < outOfReach {
+		return leader
+	}
+	return ""
+}
+
 // progressEvery is how often the leader tells the others how far jobs are.
 const progressEvery = time.Second
 
@@ -129,7 +171,7 @@
 		n.post(func(time.Time) {
 			p := &peerpb.Progress{}
 			if n.core != nil {
-				p.Token = n.elect.Token()
+				p.Token, p.Member = n.elect.Token(), n.plat.Member
 				n.core.EachProgress(func(id string, done, running int) {
 					p.Jobs = append(p.Jobs, &peerpb.JobProgress{Id: id, Done: uint32(done), Running: uint32(running)})
 				})
