--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -551,6 +551,26 @@
 	}
 }
 
+// Deaf tells that no worker at all has been heard for long, although there are
+// several: then this controller is likely the one that is cut off, and another
+// would lead better.
+func (c *Core) Deaf(now time.Time) bool {
+	patience := c.set.SilentAfter + 2*time.Second
+	if now.Before(c.resumeAt.Add(patience - c.set.SilentAfter)) {
+		return false
+	}
+	up := 0
+	for _, m := range c.machines {
+		if m.State == model.Ready || m.State == model.Draining || m.State == model.Unsettled {
+			if now.Sub(m.LastReport) <= patience {
+				return false
+			}
+			up++
+		}
+	}
+	return up > 1
+}
+
 // anyZone stands for all zones together.
 const anyZone = ""
 
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -455,6 +455,21 @@
 	})
 }
 
+func TestLeaderThatHearsNoWorkerHandsOver(t *testing.T) {
+	w := deployment(t, 3)
+	w.Run = 300 * second
+	s := job(model.Array, 3, nil)
+	submit(t, w, s)
+	until(t, w, 20*second, "all run", func() bool { return on(w, s) == 3 })
+	l := w.Leader()
+	l.Deaf = true
+	until(t, w, 25*second, "another leads", func() bool { x := w.Leader(); return x != nil && x != l })
+	until(t, w, 30*second, "all run again", func() bool { return on(w, s) == 3 })
+	if !l.Up {
+		t.Error("it crashed instead")
+	}
+}
+
 // Guards against a leader that resigns its lease silently: a controller that
 // comes back finds its own old lease and does not wait for it to run out.
 func TestRestartedLeaderDoesNotWaitForItsOwnLease(t *testing.T) {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -56,6 +56,7 @@
 	log    *slog.Logger
 	Up     bool
 	NoNet  bool // cut off from the state service
+	Deaf   bool // cut off from the workers
 	State  *store.Client
 	Jobs   *store.Jobs
 	Elect  *election.Machine
@@ -291,7 +292,7 @@
 }
 
 func (c *Controller) report(r *model.Report) (verdict, bool) {
-	if !c.Leads() {
+	if !c.Leads() || c.Deaf {
 		return verdict{}, false
 	}
 	v := verdict{token: c.token}
@@ -336,6 +337,9 @@
 			c.Core.Resume(c.w.now)
 		}
 		c.act(control.Tick{})
+		if c.Core.Deaf(c.w.now) {
+			c.election(election.Resign{})
+		}
 	}
 	c.held = c.Core != nil && !c.Leads()
 }
@@ -431,7 +435,7 @@
 		switch {
 		case w.Hold:
 			w.Held = append(w.Held, func() { deliver() })
-		case k != nil && !k.Cut && c.Leads():
+		case k != nil && !k.Cut && !c.Deaf && c.Leads():
 			ev.Outcome, ev.Report = deliver()
 		}
 		back(ev)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,6 +184,11 @@
 		wake := n.elect.Wake()
 		if n.core != nil && n.right.Load().holds() {
 			n.step(now, control.Tick{})
+			if n.core.Deaf(now) && len(n.peers) > 0 {
+				n.log.Warn("no worker is heard, stepping down")
+				n.elected(now, n.elect.Step(now, election.Resign{}))
+				continue
+			}
 			if w := n.core.Wake(); w.Before(wake) {
 				wake = w
 			}
