--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,226 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// records stands in for the job records.
+type records struct {
+	known map[string]store.JobView
+	down  bool
+}
+
+var errDown = errors.New("down")
+
+func (r *records) Peek(id string) store.JobView { return r.known[id] }
+
+func (r *records) Lookup(_ context.Context, id string) (store.JobView, error) {
+	if v := r.known[id]; v.State.Ended() || !r.down {
+		return v, nil
+	}
+	return store.JobView{}, errDown
+}
+
+func (r *records) Accept(_ context.Context, s *model.Spec, _ time.Time) (bool, store.JobView, error) {
+	if r.down {
+		return false, store.JobView{}, errDown
+	}
+	v, ok := r.known[s.ID]
+	if !ok {
+		v = store.JobView{State: wire.StateQueued, Spec: s, Tasks: s.Tasks}
+		r.known[s.ID] = v
+	}
+	return !ok, v, nil
+}
+
+func (r *records) Cancel(_ context.Context, id string) (store.JobView, error) {
+	if r.down {
+		return store.JobView{}, errDown
+	}
+	v := r.known[id]
+	if v.State == wire.StateQueued {
+		v.State = wire.StateCancelled
+		r.known[id] = v
+	}
+	return v, nil
+}
+
+// backend stands in for the controller behind the front.
+type backend struct {
+	types   []model.MachineType
+	verdict Verdict
+	relayed []byte
+}
+
+func (b *backend) Report(context.Context, *model.Report) Verdict { return b.verdict }
+func (b *backend) Relay(context.Context, string, []byte) ([]byte, bool) {
+	return b.relayed, b.relayed != nil
+}
+func (b *backend) Progress(string) (int, int) { return 3, 2 }
+func (b *backend) Types() []model.MachineType { return b.types }
+func (b *backend) Team(name string) *model.Team {
+	if name != "vision" {
+		return nil
+	}
+	return &model.Team{Name: name, Limit: model.Resources{CPU: 64}}
+}
+func (b *backend) Healthy() bool { return true }
+
+// serve runs a front in memory and returns what sends requests to it.
+func serve(t *testing.T, r *records, b *backend) func(method, path string, body any) (int, map[string]any, string) {
+	t.Helper()
+	s := New(Settings{RetryAfter: time.Second, Conns: 10}, r, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l := fasthttputil.NewInmemoryListener()
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	c := &fasthttp.HostClient{Addr: "front", DisablePathNormalizing: true, Dial: func(string) (net.Conn, error) { return l.Dial() }}
+	return func(method, path string, body any) (int, map[string]any, string) {
+		t.Helper()
+		var req fasthttp.Request
+		var res fasthttp.Response
+		req.Header.SetMethod(method)
+		req.SetRequestURI("http://front" + path)
+		switch v := body.(type) {
+		case nil:
+		case []byte:
+			req.SetBody(v)
+		default:
+			p, err := msgp.AppendIntf(nil, v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.SetBody(p)
+		}
+		if err := c.Do(&req, &res); err != nil {
+			t.Fatalf("%s %s: %v", method, path, err)
+		}
+		out := map[string]any{}
+		if len(res.Body()) > 0 {
+			v, _, err := msgp.ReadIntfBytes(res.Body())
+			if err != nil {
+				t.Fatalf("%s %s: body: %v", method, path, err)
+			}
+			out, _ = v.(map[string]any)
+		}
+		return res.StatusCode(), out, string(res.Header.Peek("Retry-After"))
+	}
+}
+
+func submission(id string) map[string]any {
+	return map[string]any{"ref": id, "jobclass": "train", "owner": "vision", "shape": "array", "rank": "standard", "rows": 4, "cores": 8,
+		"cards": 0, "memoryGb": 16.0, "seed": "img", "imageGb": 1.5, "oneZone": false, "scatter": false, "loaners": true, "expectS": 30.0,
+		"markS": 0.0, "storeS": 0.0}
+}
+
+var eight = []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Zones: []string{"a"}}}
+
+func TestWhatUsersAreAnswered(t *testing.T) {
+	r := &records{known: map[string]store.JobView{"wk-000009": {State: wire.StateDone, Tasks: 7}}}
+	do := serve(t, r, &backend{types: eight})
+	with := func(id string, change func(map[string]any)) map[string]any {
+		m := maps.Clone(submission(id))
+		change(m)
+		return m
+	}
+	for _, c := range []struct {
+		name, method, path string
+		body               any
+		want               int
+		status             string
+	}{
+		{"new job", "POST", "/api/jobs", submission("wk-000001"), 201, "queued"},
+		{"again", "POST", "/api/jobs", submission("wk-000001"), 200, "running"},
+		{"known, though malformed by now", "POST", "/api/jobs", map[string]any{"ref": "wk-000001", "rows": "x"}, 200, "running"},
+		{"known and over", "POST", "/api/jobs", submission("wk-000009"), 200, "done"},
+		{"malformed", "POST", "/api/jobs", []byte("hello"), 400, ""},
+		{"bytes behind", "POST", "/api/jobs", []byte{0x80, 0x80}, 400, ""},
+		{"too large", "POST", "/api/jobs", []byte(strings.Repeat("x", wire.MaxBody+1)), 400, ""},
+		{"a field is missing", "POST", "/api/jobs", with("wk-000002", func(m map[string]any) { delete(m, "rank") }), 400, ""},
+		{"unknown team", "POST", "/api/jobs", with("wk-000003", func(m map[string]any) { m["owner"] = "nobody" }), 422, ""},
+		{"fits no machine", "POST", "/api/jobs", with("wk-000004", func(m map[string]any) { m["cores"] = 9 }), 422, ""},
+		{"a gang over the limit", "POST", "/api/jobs", with("wk-000005", func(m map[string]any) { m["shape"], m["rows"] = "ensemble", 9 }), 422, ""},
+		{"an array may be over it", "POST", "/api/jobs", with("wk-000006", func(m map[string]any) { m["rows"] = 900 }), 201, "queued"},
+		{"poll", "GET", "/api/jobs/wk-000001", nil, 200, "running"},
+		{"poll, over", "GET", "/api/jobs/wk-000009", nil, 200, "done"},
+		{"poll, unheard of", "GET", "/api/jobs/wk-777777", nil, 404, ""},
+		{"poll, no id", "GET", "/api/jobs/../healthz", nil, 404, ""},
+		{"cancel", "POST", "/api/jobs/wk-000001/withdraw", nil, 200, "withdrawn"},
+		{"cancel what is done", "POST", "/api/jobs/wk-000009/withdraw", nil, 200, "done"},
+		{"cancel, unheard of", "POST", "/api/jobs/wk-777777/withdraw", nil, 404, ""},
+		{"another method", "DELETE", "/api/jobs/wk-000009", nil, 405, ""},
+		{"another path", "GET", "/api/job", nil, 404, ""},
+		{"health", "GET", "/healthz", nil, 200, ""},
+	} {
+		code, body, _ := do(c.method, c.path, c.body)
+		if code != c.want || c.status != "" && body["status"] != c.status {
+			t.Errorf("%s: got %d %v, want %d %s", c.name, code, body, c.want, c.status)
+		}
+	}
+}
+
+func TestWithoutTheStateServiceUsersAreToldWhenToComeBack(t *testing.T) {
+	r := &records{known: map[string]store.JobView{"wk-000001": {State: wire.StateQueued}, "wk-000009": {State: wire.StateCancelled}}, down: true}
+	do := serve(t, r, &backend{types: eight})
+	for _, c := range [][2]string{{"GET", "/api/jobs/wk-000001"}, {"GET", "/api/jobs/wk-777777"}, {"POST", "/api/jobs/wk-000001/withdraw"}} {
+		if code, _, after := do(c[0], c[1], nil); code != 503 || after == "" {
+			t.Errorf("%s %s: got %d, Retry-After %q", c[0], c[1], code, after)
+		}
+	}
+	if code, _, after := do("POST", "/api/jobs", submission("wk-000002")); code != 503 || after == "" {
+		t.Errorf("submission: got %d, Retry-After %q", code, after)
+	}
+	if code, body, _ := do("GET", "/api/jobs/wk-000009", nil); code != 200 || body["status"] != "withdrawn" {
+		t.Errorf("a final state needs no state service: got %d %v", code, body)
+	}
+}
+
+func TestWithoutMachineTypesNothingIsRefusedForGood(t *testing.T) {
+	do := serve(t, &records{known: map[string]store.JobView{}}, &backend{})
+	if code, _, _ := do("POST", "/api/jobs", submission("wk-000001")); code != 503 {
+		t.Errorf("got %d", code)
+	}
+}
+
+func TestReportsGoToWhoeverMayAct(t *testing.T) {
+	report := map[string]any{"tiller": "n-1", "addr": "a", "breed": "eight", "field": "a", "loaners": false, "shift": 1, "tick": 1, "baton": 0, "rows": []any{}}
+	valid := true
+	b := &backend{verdict: Verdict{Act: true, Token: 41, Valid: func() bool { return valid },
+		Orders: []model.Order{{Op: model.OpLaunch, Task: model.TaskID{Job: "wk-000412", Index: 4}, Try: 2}}}}
+	do := serve(t, &records{}, b)
+	code, body, _ := do("POST", "/v1/report", report)
+	orders, _ := body["orders"].([]any)
+	if code != 200 || len(orders) != 1 || orders[0].(map[string]any)["row"] != "wk-000412/4" {
+		t.Errorf("the leader: got %d %v", code, body)
+	}
+	valid = false // the right lapses between working the answer out and sending it
+	if code, body, _ = do("POST", "/v1/report", report); code != 503 || body["orders"] != nil {
+		t.Errorf("without the right to act: got %d %v", code, body)
+	}
+	b.verdict = Verdict{Leader: "tiller-2"}
+	if code, body, _ = do("POST", "/v1/report", report); code != 421 || body["foreman"] != "tiller-2" {
+		t.Errorf("a follower: got %d %v", code, body)
+	}
+	b.relayed = wire.AppendReportAnswer(nil, 42, nil)
+	if code, body, _ = do("POST", "/v1/report", report); code != 200 || body["baton"] == nil {
+		t.Errorf("a follower that hands on: got %d %v", code, body)
+	}
+	if code, _, _ = do("POST", "/v1/report", []byte{0xc1}); code != 400 {
+		t.Errorf("a malformed report: got %d", code)
+	}
+}
