--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -34,7 +34,7 @@
 		ListEvery: o.Fleet.List.D(), CatalogEvery: o.Fleet.Catalog.D(),
 		SilentAfter: silent, SilentShare: o.Workers.SilentShare,
 		Backoff: o.Scheduler.Backoff.D(), BackoffMost: o.Scheduler.BackoffMost.D(), SickErrors: o.Workers.SickErrors,
-		DirectHold: o.Workers.DirectHold.D(), TxnOps: d.State.TxnOps, ChunkTasks: max(chunk/64*64, 64),
+		DirectHold: o.Workers.DirectHold.D(), Consolidate: o.Scheduler.Consolidate.D(), TxnOps: d.State.TxnOps, ChunkTasks: max(chunk/64*64, 64),
 	}
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -78,6 +78,7 @@
 	ImageFirst        bool     `xml:"production-image-first"`
 	Tight             Duration `xml:"tight"`
 	Dear              float64  `xml:"dear"`
+	Consolidate       Duration `xml:"consolidate"`
 	Backoff           Duration `xml:"backoff"`
 	BackoffMost       Duration `xml:"backoff-most"`
 	strict
@@ -122,7 +123,7 @@
 	s := func(v float64) Duration { return Duration(v * float64(time.Second)) }
 	return &Operator{
 		Leadership: Leadership{Lease: s(4), Margin: s(0.2), Look: s(2), Retry: s(0.25)},
-		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), OvertakeLate: s(900), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16, ImageFirst: true, Tight: s(30), Dear: 2,
+		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), OvertakeLate: s(900), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16, ImageFirst: true, Tight: s(30), Dear: 2, Consolidate: s(1),
 			MinRun: s(30), Backoff: s(4), BackoffMost: s(60)},
 		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, LeastPaid: s(60), KeepSpot: 4, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), SoonBoots: 1, List: s(5), Catalog: s(60)},
 		Workers: Workers{LeaseMargin: s(0.5), SilentShare: 0.34, SickErrors: 2, DirectWait: s(1.5),
@@ -192,6 +193,7 @@
 	number("scheduler/idle-power", o.Scheduler.IdlePower, 0, 1)
 	span("scheduler/overtake", o.Scheduler.Overtake, 0, 24*time.Hour)
 	span("scheduler/overtake-late", o.Scheduler.OvertakeLate, o.Scheduler.Overtake.D(), 7*24*time.Hour)
+	span("scheduler/consolidate", o.Scheduler.Consolidate, 0, 24*time.Hour)
 	number("scheduler/dear", o.Scheduler.Dear, 1, 1e6)
 	span("scheduler/tight", o.Scheduler.Tight, 0, 24*time.Hour)
 	span("scheduler/pass", o.Scheduler.Pass, time.Millisecond, 10*time.Second)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -34,6 +34,7 @@
 	BackoffMost  time.Duration
 	SickErrors   int // errors of several jobs that condemn a machine
 	DirectHold   time.Duration
+	Consolidate  time.Duration // between moves off dear machines; 0: none
 	TxnOps       int
 	ChunkTasks   int // tasks in a chunk of the finished-task record
 }
@@ -55,6 +56,7 @@
 	Jobs     []JobAdded
 	Done     map[string]map[int][]byte // finished-task chunks by job
 	Machines []model.Listed
+	Needs    []model.Resources // GPU requests that were seen
 }
 
 // Core is the picture and the decisions of one leader, for one token. It is
@@ -78,7 +80,7 @@
 	used     map[string]model.Resources
 	unsure   int // machines that may hold tasks that nobody here knows
 
-	gpuNeed map[model.Resources]time.Time // GPU tasks seen, so that machines keep room for them
+	gpuNeed map[model.Resources]bool // GPU requests seen: machines are kept for them
 	refused map[fleet.Offer]time.Time
 	renting map[string]model.Rental
 	rentAt  map[string]time.Time
@@ -96,6 +98,7 @@
 	catalogAt time.Time
 	sweepAt   time.Time
 	statusAt  time.Time
+	moveAt    time.Time // no replica is moved before this
 	listing   bool
 	catalogs  bool
 	resumeAt  time.Time // no machine counts as silent before this
@@ -109,7 +112,7 @@
 func New(now time.Time, set Settings, token uint64, snap *Snapshot, types []model.MachineType, log *slog.Logger) *Core {
 	c := &Core{set: set, log: log, token: token, start: now, rev: snap.Revision,
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, machines: map[string]*model.Machine{},
-		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]time.Time{},
+		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
 		dirtyJobs: map[string]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt: now.Add(set.SilentAfter)}
@@ -119,6 +122,9 @@
 	if len(types) > 0 {
 		c.catalogAt = now.Add(set.CatalogEvery)
 	}
+	for _, n := range snap.Needs {
+		c.gpuNeed[n] = true
+	}
 	for _, j := range snap.Jobs {
 		c.addJob(now, j)
 	}
@@ -276,14 +282,20 @@
 	j := model.NewJob(ev.Spec, ev.At, ev.Version)
 	c.jobs[ev.Spec.ID] = j
 	c.order = append(c.order, j)
-	if ev.Spec.Need.GPU > 0 {
-		c.gpuNeed[ev.Spec.Need] = now
+	if need := ev.Spec.Need; need.GPU > 0 && !c.gpuNeed[need] && len(c.gpuNeed) < maxNeeds {
+		// Guards against a new leader that knows no GPU work at the moment, and
+		// fills or rents the dearest machines for anything.
+		c.gpuNeed[need] = true
+		c.saves = append(c.saves, Save{Kind: SaveNeed, Need: need})
 	}
 	c.dirty = true
 	c.log.Info("job", "id", ev.Spec.ID, "class", ev.Spec.Class, "team", ev.Spec.Team, "shape", ev.Spec.Shape.String(),
 		"rank", ev.Spec.Rank.String(), "tasks", ev.Spec.Tasks)
 }
 
+// maxNeeds bounds the GPU requests that are kept in mind.
+const maxNeeds = 64
+
 // endJob takes a job that is done or cancelled out of the picture. Attempts of
 // it stay on their machines' accounts until they are gone.
 func (c *Core) endJob(now time.Time, id string) {
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -94,17 +94,19 @@
 	SaveTasks                       // a chunk of a job's finished-task record
 	DropTasks                       // a chunk of an ended job
 	EndJob                          // all tasks of the job are done
+	SaveNeed                        // a GPU request that was seen
 )
 
 // Save is one change of the leader's records.
 type Save struct {
 	Kind    SaveKind
-	Machine model.Listed // SaveMachine, DropMachine (its name)
-	Job     string       // SaveTasks, DropTasks, EndJob
-	Version uint64       // EndJob: of the job's record
-	Tasks   int          // EndJob: how many it has
-	Chunk   int          // SaveTasks, DropTasks
-	Bits    []byte       // SaveTasks
+	Machine model.Listed    // SaveMachine, DropMachine (its name)
+	Job     string          // SaveTasks, DropTasks, EndJob
+	Version uint64          // EndJob: of the job's record
+	Tasks   int             // EndJob: how many it has
+	Chunk   int             // SaveTasks, DropTasks
+	Bits    []byte          // SaveTasks
+	Need    model.Resources // SaveNeed
 }
 
 // Effect is what a leader wants done.
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -16,6 +16,7 @@
 	}
 	p, coming := c.picture(now)
 	if len(p.Wants) == 0 {
+		c.consolidate(now, p)
 		return
 	}
 	plan := sched.Make(&c.set.Sched, p)
@@ -39,6 +40,21 @@
 	c.rent(now, plan.Lacking, coming)
 }
 
+// consolidate moves one replica from a dear machine to a cheap one.
+func (c *Core) consolidate(now time.Time, p *sched.Picture) {
+	if c.unsure > 0 || c.set.Consolidate == 0 || now.Before(c.moveAt) {
+		return
+	}
+	for _, j := range c.order {
+		if a := sched.Consolidate(&c.set.Sched, p, j); a != nil {
+			c.log.Info("moving", "task", a.Task, "from", a.Machine.Name, "type", a.Machine.Type.Name)
+			c.halt(now, a)
+			c.moveAt = now.Add(c.set.Consolidate)
+			return
+		}
+	}
+}
+
 // launch starts one task of a want. From here on it counts as being on the
 // machine: see docs/safety.md, "What is on a machine".
 func (c *Core) launch(now time.Time, pl sched.Placement, try uint64) {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -379,12 +379,11 @@
 		c.later = append(c.later, c.takeOver)
 		return
 	}
-	done, machines, err := c.State.Records(ctx)
+	snap, err := c.State.Records(ctx)
 	if err != nil {
 		c.later = append(c.later, c.takeOver)
 		return
 	}
-	snap := &control.Snapshot{Done: done, Machines: machines}
 	active, rev := c.Jobs.Active()
 	snap.Revision = rev
 	for _, v := range active {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -312,10 +312,10 @@
 func (n *Node) takeOver(term uint64, e election.Elected) {
 	n.spawn(func() {
 		for n.ctx.Err() == nil {
-			snap := &control.Snapshot{}
+			var snap *control.Snapshot
 			err := n.jobs.Refresh(n.ctx)
 			if err == nil {
-				snap.Done, snap.Machines, err = n.state.Records(n.ctx)
+				snap, err = n.state.Records(n.ctx)
 			}
 			if err == nil {
 				started := make(chan bool, 1)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -174,6 +174,39 @@
 	return u
 }
 
+// Consolidate finds a replica that sits on a dear machine although a cheap one has
+// room and its image: the paper's consolidation, for when nothing waits. The move
+// costs a moment, since nothing has to be fetched. It returns nil if there is none.
+func Consolidate(s *Settings, p *Picture, j *model.Job) *model.Attempt {
+	spec := j.Spec
+	if spec.Shape != model.Service || len(j.Live) < spec.Tasks || spec.OneZone && spec.Tasks > 1 {
+		return nil
+	}
+	dear := p.dearer(spec, s.Dear)
+	zones := map[string]int{}
+	var found *model.Attempt
+	for _, a := range j.Live {
+		if a.State != model.Present || a.Phase != model.Running {
+			return nil // one at a time
+		}
+		zones[a.Machine.Zone]++
+		if rate(a.Machine) > dear && (found == nil || a.Task.Index < found.Task.Index) {
+			found = a
+		}
+	}
+	if found == nil {
+		return nil
+	}
+	zones[found.Machine.Zone]--
+	for _, nd := range p.Nodes {
+		if rate(nd.Machine) <= dear && nd.hasImage(spec) && Allowed(spec, nd.Machine, "") && !nd.kept(spec) && spec.Need.Fits(nd.Free) &&
+			j.ErrorOn[nd.Machine.Name] == 0 && zones[nd.Machine.Zone] < spec.ZoneCap() {
+			return found
+		}
+	}
+	return nil
+}
+
 // Make decides one pass.
 func Make(s *Settings, p *Picture) *Plan {
 	plan := &Plan{}
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -9,7 +9,6 @@
 
 	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
-	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
@@ -20,6 +19,7 @@
 	tokenKey      = "leader/token"  // lasts; every transaction of a leader depends on its version
 	tasksPrefix   = "tasks/"
 	machinePrefix = "machine/"
+	needPrefix    = "need/"
 )
 
 func record(entries []wire.Entry) (election.Record, error) {
@@ -84,18 +84,19 @@
 }
 
 // Records reads what a new leader needs besides the jobs.
-func (c *Client) Records(ctx context.Context) (done map[string]map[int][]byte, machines []model.Listed, err error) {
+func (c *Client) Records(ctx context.Context) (*control.Snapshot, error) {
+	snap := &control.Snapshot{Done: map[string]map[int][]byte{}}
+	done := snap.Done
 	entries, _, err := c.List(ctx, tasksPrefix)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	done = map[string]map[int][]byte{}
 	for _, e := range entries {
 		id, n, _ := strings.Cut(e.Key[len(tasksPrefix):], "/")
 		chunk, err := strconv.Atoi(n)
 		bits, derr := wire.DecodeTasksDone(e.Value)
 		if err != nil || derr != nil || chunk < 0 || chunk > 1<<20 {
-			return nil, nil, fmt.Errorf("unreadable record %s", e.Key)
+			return nil, fmt.Errorf("unreadable record %s", e.Key)
 		}
 		if done[id] == nil {
 			done[id] = map[int][]byte{}
@@ -103,16 +104,26 @@
 		done[id][chunk] = bits
 	}
 	if entries, _, err = c.List(ctx, machinePrefix); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	for _, e := range entries {
 		m, err := wire.DecodeMachine(e.Key[len(machinePrefix):], e.Value)
 		if err != nil {
-			return nil, nil, fmt.Errorf("unreadable record %s: %w", e.Key, err)
+			return nil, fmt.Errorf("unreadable record %s: %w", e.Key, err)
 		}
-		machines = append(machines, m)
+		snap.Machines = append(snap.Machines, m)
 	}
-	return done, machines, nil
+	if entries, _, err = c.List(ctx, needPrefix); err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		need, err := wire.DecodeNeed(e.Value)
+		if err != nil {
+			return nil, fmt.Errorf("unreadable record %s: %w", e.Key, err)
+		}
+		snap.Needs = append(snap.Needs, need)
+	}
+	return snap, nil
 }
 
 // Save carries out a leader's saves in one transaction under the condition that
@@ -130,6 +141,9 @@
 			t.Then = append(t.Then, wire.Change{Key: tasksKey(s), Value: wire.AppendTasksDone(nil, s.Bits)})
 		case control.DropTasks:
 			t.Then = append(t.Then, wire.Change{Key: tasksKey(s)})
+		case control.SaveNeed:
+			key := fmt.Sprintf("%s%g-%g-%g", needPrefix, s.Need.CPU, s.Need.GPU, s.Need.MemGB)
+			t.Then = append(t.Then, wire.Change{Key: key, Value: wire.AppendNeed(nil, s.Need)})
 		case control.EndJob:
 			t.If = append(t.If, wire.Cond{Key: activePrefix + s.Job, Version: s.Version}, wire.Cond{Key: endedPrefix + s.Job})
 			t.Then = append(t.Then, wire.Change{Key: activePrefix + s.Job},
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -114,6 +114,29 @@
 	return m, err
 }
 
+// AppendNeed writes the record of a GPU request that was seen.
+func AppendNeed(b []byte, r model.Resources) []byte {
+	b = appendNum(msgp.AppendMapHeader(b, 3), "cpu", r.CPU)
+	b = appendNum(b, "gpu", r.GPU)
+	return appendNum(b, "mem", r.MemGB)
+}
+
+// DecodeNeed reads the record of a GPU request.
+func DecodeNeed(b []byte) (r model.Resources, err error) {
+	err = whole(b, func(key string, b []byte) ([]byte, bool, error) {
+		switch key {
+		case "cpu":
+			return readNum(b, &r.CPU)
+		case "gpu":
+			return readNum(b, &r.GPU)
+		case "mem":
+			return readNum(b, &r.MemGB)
+		}
+		return b, false, nil
+	})
+	return r, err
+}
+
 // AppendToken writes the token's or the leader's record.
 func AppendToken(b []byte, token uint64, member string) []byte {
 	b = appendUint(msgp.AppendMapHeader(b, 2), "token", token)
