--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+var types = []model.MachineType{
+	{Name: "small", Cap: model.Resources{CPU: 4, MemGB: 16}, Price: 0.2, SpotPrice: 0.05, Boot: 30 * time.Second, Zones: []string{"a", "b"}},
+	{Name: "gpu", Cap: model.Resources{CPU: 96, GPU: 8, MemGB: 384}, Price: 28, SpotPrice: 9, Boot: time.Minute, Zones: []string{"a"}},
+}
+
+func lacking(n int, change func(*model.Spec)) []sched.Shortage {
+	s := &model.Spec{ID: "wk-000001", Class: "c", Tasks: n, Need: model.Resources{CPU: 2, MemGB: 6}, Shape: model.Array}
+	if change != nil {
+		change(s)
+	}
+	return []sched.Shortage{{Want: &sched.Want{Job: model.NewJob(s, time.Unix(0, 0), 1), Zones: map[string]int{}}, Count: n}}
+}
+
+func view() *View {
+	return &View{Types: types, Refused: map[Offer]time.Time{}, Count: map[string]int{},
+		ForGPU: func(t *model.MachineType, spot bool) bool { return t.Cap.GPU > 0 && !spot }}
+}
+
+var set = &Settings{MaxRent: 50, KeepIdle: 20 * time.Second, KeepBoots: 1, LeastPaid: time.Minute, KeepSpot: 4}
+
+func count(asks []Ask, o Offer) int {
+	for _, a := range asks {
+		if a.Offer == o {
+			return a.Count
+		}
+	}
+	return 0
+}
+
+func TestTheCheapestKindIsRentedAndSpreadOverZones(t *testing.T) {
+	asks := Rent(set, time.Unix(0, 0), view(), lacking(8, nil)) // two on a machine
+	if len(asks) != 2 || count(asks, Offer{"small", "a", false}) != 2 || count(asks, Offer{"small", "b", false}) != 2 {
+		t.Errorf("asked for %v", asks)
+	}
+}
+
+func TestSpotOnlyForJobsThatAllowIt(t *testing.T) {
+	for _, a := range Rent(set, time.Unix(0, 0), view(), lacking(4, func(s *model.Spec) { s.Spot = true })) {
+		if !a.Spot {
+			t.Errorf("a job that may use spot machines gets %v", a)
+		}
+	}
+}
+
+func TestRefusedKindsAreLeftOutForAWhile(t *testing.T) {
+	v := view()
+	now := time.Unix(100, 0)
+	v.Refused[Offer{"small", "a", false}] = now.Add(time.Second)
+	v.Refused[Offer{"small", "b", false}] = now.Add(time.Second)
+	if asks := Rent(set, now, v, lacking(2, nil)); len(asks) != 0 {
+		t.Errorf("machines kept for GPU work are no substitute: asked for %v", asks)
+	}
+	if asks := Rent(set, now.Add(2*time.Second), v, lacking(2, nil)); len(asks) != 1 {
+		t.Errorf("after the wait: asked for %v", asks)
+	}
+}
+
+func TestNothingIsRentedForWhatIsComing(t *testing.T) {
+	v := view()
+	v.Coming = []*Coming{{Type: &types[0], Zone: "a"}, {Type: &types[0], Zone: "b", Soon: &model.Resources{CPU: 2, MemGB: 6}}}
+	if asks := Rent(set, time.Unix(0, 0), v, lacking(3, nil)); len(asks) != 0 {
+		t.Errorf("asked for %v", asks)
+	}
+	limited := lacking(9, nil)
+	limited[0].Limited = true
+	if asks := Rent(set, time.Unix(0, 0), v, limited); len(asks) != 0 {
+		t.Errorf("for work that its team's limit keeps back: asked for %v", asks)
+	}
+	if asks := Rent(set, time.Unix(0, 0), v, lacking(3, func(s *model.Spec) { s.Rank = model.Production })); len(asks) != 1 {
+		t.Errorf("production does not wait for what may become free: asked for %v", asks)
+	}
+}
+
+func TestIdleMachinesAreKeptForWhatIsPaidAnyway(t *testing.T) {
+	for _, c := range []struct {
+		spot       bool
+		empty, age time.Duration
+		back       bool
+	}{
+		{false, 25 * time.Second, 50 * time.Second, false}, // paid for a minute
+		{false, 25 * time.Second, 70 * time.Second, false}, // a boot takes 30 s
+		{false, 31 * time.Second, 70 * time.Second, true},
+		{true, 31 * time.Second, 70 * time.Second, false}, // spot: 80 s
+		{true, 81 * time.Second, 90 * time.Second, true},
+	} {
+		if got := set.Idle(&types[0], c.spot, c.empty, c.age); got != c.back {
+			t.Errorf("%+v: given back: %v", c, got)
+		}
+	}
+}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -1,10 +1,62 @@
 package sched
 
 import (
+	"fmt"
 	"math"
 	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
 )
 
+var set = &Settings{IdleShare: 0.7, Overtake: time.Minute, OvertakeLate: 15 * time.Minute, MaxPreempt: 8, MinRun: 30 * time.Second,
+	Dear: 2, Tight: 30 * time.Second, ImageFirst: true, PreemptWithin: true}
+
+var cheap = &model.MachineType{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Price: 1, SpotPrice: 0.3}
+var dear = &model.MachineType{Name: "gpu", Cap: model.Resources{CPU: 48, GPU: 4, MemGB: 384}, Price: 60, SpotPrice: 20}
+
+// node makes a machine on which used CPUs are taken.
+func node(name, zone string, t *model.MachineType, used float64) *Node {
+	m := &model.Machine{Name: name, Zone: zone, Type: t, Images: map[string]time.Time{}}
+	return &Node{Machine: m, Free: t.Cap.Sub(model.Resources{CPU: used, MemGB: used})}
+}
+
+// want makes tasks of four CPUs that wait.
+func want(id string, tasks int, change func(*model.Spec)) *Want {
+	s := &model.Spec{ID: id, Team: "red", Shape: model.Array, Rank: model.Normal, Tasks: tasks, Need: model.Resources{CPU: 4, MemGB: 4}, Image: "img", Spot: true}
+	if change != nil {
+		change(s)
+	}
+	return &Want{Job: model.NewJob(s, time.Unix(0, 0), 1), Count: tasks, Cap: tasks, Zones: map[string]int{}}
+}
+
+// running puts an attempt of another job on a node.
+func running(nd *Node, team string, rank model.Rank, change func(*Running)) *model.Attempt {
+	a := &model.Attempt{Team: team, Need: model.Resources{CPU: 4, MemGB: 4}, Machine: nd.Machine}
+	v := Running{Attempt: a, Rank: rank, Over: true}
+	if change != nil {
+		change(&v)
+	}
+	nd.Victims = append(nd.Victims, v)
+	return a
+}
+
+func picture(nodes []*Node, wants ...*Want) *Picture {
+	p := &Picture{Nodes: nodes, Wants: wants, Used: map[string]model.Resources{}, Leaving: map[string]model.Resources{}, Teams: map[string]*model.Team{}, Zones: []string{"a", "b"}}
+	for _, t := range []string{"red", "blue"} {
+		p.Teams[t] = &model.Team{Name: t, Guarantee: model.Resources{CPU: 8}, Limit: model.Resources{CPU: 100, GPU: 8}}
+	}
+	return p
+}
+
+func placed(plan *Plan) string {
+	out := ""
+	for _, pl := range plan.Place {
+		out += fmt.Sprintf("%s@%s ", pl.Want.Job.Spec.ID, pl.Node.Machine.Name)
+	}
+	return out
+}
+
 // A fuller machine does more work per power, up to 1 when it is full.
 func TestEfficiencyGrowsWithTheBusyShare(t *testing.T) {
 	last := Efficiency(0, 0.7)
@@ -19,3 +71,159 @@
 		last = e
 	}
 }
+
+func TestTheFullestMachineThatFitsIsChosen(t *testing.T) {
+	nodes := []*Node{node("empty", "a", cheap, 0), node("half", "a", cheap, 4), node("nearly-full", "a", cheap, 6)}
+	if got := placed(Make(set, picture(nodes, want("x", 2, nil)))); got != "x@half x@empty " {
+		t.Errorf("placed %s", got)
+	}
+}
+
+func TestOrderIsSlackThenAgeThenLate(t *testing.T) {
+	due := func(id string, slack time.Duration) *Want {
+		w := want(id, 1, nil)
+		w.Due, w.Slack = true, slack
+		return w
+	}
+	late, tight, loose := due("late", -1), due("tight", 5*time.Second), due("loose", time.Hour)
+	again := due("again", 2*time.Hour)
+	again.Restart = true
+	young, old, waiting := want("young", 1, nil), want("old", 1, nil), want("waiting", 1, nil)
+	young.Waited, old.Waited, waiting.Waited = time.Second, 30*time.Second, 61*time.Second
+	sure := due("sure", time.Hour)
+	sure.Guaranteed = true
+	prod := want("prod", 1, func(s *model.Spec) { s.Rank = model.Production })
+	wants := []*Want{late, young, loose, old, tight, again, sure, waiting, prod}
+	Order(set, wants)
+	got := ""
+	for _, w := range wants {
+		got += w.Job.Spec.ID + " "
+	}
+	if want := "prod sure waiting again tight loose old young late "; got != want {
+		t.Errorf("order %s, want %s", got, want)
+	}
+}
+
+func TestAGangStartsWholeOrNotAtAll(t *testing.T) {
+	gang := func(n int, oneZone bool) *Want {
+		return want("g", n, func(s *model.Spec) { s.Shape, s.OneZone = model.Gang, oneZone })
+	}
+	nodes := func() []*Node {
+		return []*Node{node("a1", "a", cheap, 4), node("a2", "a", cheap, 4), node("b1", "b", cheap, 4)}
+	}
+	if got := placed(Make(set, picture(nodes(), gang(4, false)))); got != "" {
+		t.Errorf("four tasks in room for three: placed %s", got)
+	}
+	if got := len(Make(set, picture(nodes(), gang(3, false))).Place); got != 3 {
+		t.Errorf("three tasks in room for three: placed %d", got)
+	}
+	if got := placed(Make(set, picture(nodes(), gang(3, true)))); got != "" {
+		t.Errorf("three tasks in one zone with room for two: placed %s", got)
+	}
+	if got := placed(Make(set, picture(nodes(), gang(2, true)))); got != "g@a1 g@a2 " {
+		t.Errorf("two tasks in one zone: placed %s", got)
+	}
+}
+
+func TestASpreadServiceKeepsHalfOutOfEachZone(t *testing.T) {
+	w := want("s", 5, func(s *model.Spec) { s.Shape, s.Spread = model.Service, true })
+	plan := Make(set, picture([]*Node{node("a1", "a", cheap, 0), node("a2", "a", cheap, 0), node("a3", "a", cheap, 0)}, w))
+	if len(plan.Place) != 3 || len(plan.Lacking) != 1 || plan.Lacking[0].Count != 2 {
+		t.Errorf("placed %s lacking %v", placed(plan), plan.Lacking)
+	}
+}
+
+func TestATeamsLimitHolds(t *testing.T) {
+	p := picture([]*Node{node("a1", "a", cheap, 0), node("a2", "a", cheap, 0)}, want("x", 4, nil))
+	p.Used["red"] = model.Resources{CPU: 91}
+	plan := Make(set, p)
+	if len(plan.Place) != 2 || p.Used["red"].CPU != 99 {
+		t.Errorf("placed %s, used %v of 100", placed(plan), p.Used["red"].CPU)
+	}
+}
+
+// Guards against two kinds of work that stop each other in turns: production
+// goes first in the order, so it would take its place back at once.
+func TestProductionIsNotStoppedForAGuarantee(t *testing.T) {
+	nd := node("a1", "a", cheap, 8)
+	running(nd, "blue", model.Production, nil)
+	spare := running(nd, "blue", model.High, nil)
+	w := want("x", 2, func(s *model.Spec) { s.Rank = model.Low })
+	w.Guaranteed = true
+	plan := Make(set, picture([]*Node{nd}, w))
+	if len(plan.Stop) != 1 || plan.Stop[0].Attempt != spare {
+		t.Errorf("stopped %v", plan.Stop)
+	}
+}
+
+func TestWorkThatNobodyMayStopStays(t *testing.T) {
+	nd := node("a1", "a", cheap, 8)
+	running(nd, "blue", model.Normal, func(v *Running) { v.Over = false })
+	running(nd, "red", model.Normal, nil)
+	w := want("x", 1, nil)
+	w.Guaranteed = true
+	if plan := Make(set, picture([]*Node{nd}, w)); len(plan.Stop) != 0 {
+		t.Errorf("stopped %v: one is within its team's guarantee, the other of the same team", plan.Stop)
+	}
+}
+
+func TestProductionMakesRoomWhereItsImageIs(t *testing.T) {
+	free, full := node("free", "a", cheap, 0), node("full", "a", cheap, 8)
+	full.Machine.Images["img"] = time.Unix(1, 0)
+	saves := running(full, "blue", model.Low, func(v *Running) { v.Saves = true })
+	quick := running(full, "blue", model.Low, func(v *Running) { v.Loss = 20 * time.Second })
+	plan := Make(set, picture([]*Node{free, full}, want("s", 1, func(s *model.Spec) { s.Shape, s.Rank = model.Service, model.Production })))
+	if len(plan.Place) != 0 || len(plan.Stop) != 1 || plan.Stop[0].Attempt != quick {
+		t.Errorf("placed %s, stopped %v (not %v, which takes time to save)", placed(plan), plan.Stop, saves)
+	}
+}
+
+func TestTightDeadlinesMakeLowerWorkOfTheTeamYield(t *testing.T) {
+	nd := node("a1", "a", cheap, 4)
+	low := running(nd, "red", model.Low, func(v *Running) { v.Saves = true })
+	other := running(nd, "blue", model.Low, func(v *Running) { v.Saves = true })
+	w := want("x", 1, nil)
+	w.Due, w.Slack = true, 10*time.Second
+	p := picture([]*Node{nd}, w)
+	p.Used["red"] = model.Resources{CPU: 100}
+	plan := Make(set, p)
+	if len(plan.Stop) != 1 || plan.Stop[0].Attempt != low || len(plan.Place) != 0 {
+		t.Errorf("stopped %v (other team: %v), placed %s", plan.Stop, other, placed(plan))
+	}
+	p = picture([]*Node{nd}, w)
+	p.Used["red"], p.Leaving["red"] = model.Resources{CPU: 100}, model.Resources{CPU: 4}
+	if plan = Make(set, p); len(plan.Stop) != 0 {
+		t.Errorf("stopped %v although enough is on its way out", plan.Stop)
+	}
+}
+
+func TestSmallTasksStayOffMachinesKeptForGPUWork(t *testing.T) {
+	nd := node("gpu", "a", dear, 0)
+	nd.ForGPU = true
+	if got := placed(Make(set, picture([]*Node{nd}, want("x", 1, nil)))); got != "" {
+		t.Errorf("placed %s", got)
+	}
+	g := want("g", 1, func(s *model.Spec) { s.Need.GPU = 2 })
+	if got := placed(Make(set, picture([]*Node{nd}, g))); got != "g@gpu " {
+		t.Errorf("GPU work: placed %s", got)
+	}
+}
+
+func TestAReplicaMovesOffADearMachine(t *testing.T) {
+	from, to := node("gpu", "a", dear, 4), node("eight", "a", cheap, 0)
+	w := want("s", 1, func(s *model.Spec) { s.Shape = model.Service })
+	a := &model.Attempt{Task: model.TaskID{Job: "s"}, Machine: from.Machine, State: model.Present, Phase: model.Running}
+	w.Job.Live[0] = a
+	p := picture([]*Node{from, to})
+	if got := Consolidate(set, p, w.Job); got != nil {
+		t.Error("moved to a machine that would have to fetch its image")
+	}
+	to.Machine.Images["img"] = time.Unix(1, 0)
+	if got := Consolidate(set, p, w.Job); got != a {
+		t.Errorf("moves %v", got)
+	}
+	to.Free.CPU = 2
+	if got := Consolidate(set, p, w.Job); got != nil {
+		t.Error("moved although there is no room")
+	}
+}
