--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -155,11 +155,17 @@
 	if a.State == model.Stopping {
 		return true
 	}
-	if a.RunningAt.IsZero() || a.Job.Spec.Shape == model.Service {
+	if a.Job.Spec.Shape == model.Service {
 		return false
 	}
 	left := a.Job.Spec.Estimate - now.Sub(a.RunningAt)
-	if left < 0 {
+	if a.RunningAt.IsZero() {
+		left = a.Job.Spec.Estimate
+		if r := a.Machine.Type.FetchGBPerS; r > 0 && a.Phase != model.Waiting {
+			fetch := time.Duration(a.Job.Spec.ImageGB / r * float64(time.Second))
+			left += max(0, fetch-now.Sub(a.LaunchedAt))
+		}
+	} else if left < 0 {
 		left = a.Job.Spec.Estimate / 2 // it takes longer than its owner thought
 	}
 	return left < time.Duration(c.set.Fleet.SoonBoots*float64(a.Machine.Type.Boot))
