--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -81,6 +81,7 @@
 	unsure   int // machines that may hold tasks that nobody here knows
 
 	gpuNeed map[model.Resources]bool // GPU requests seen: machines are kept for them
+	runs    runTimes
 	refused map[fleet.Offer]time.Time
 	renting map[string]model.Rental
 	rentAt  map[string]time.Time
@@ -112,7 +113,7 @@
 func New(now time.Time, set Settings, token uint64, snap *Snapshot, types []model.MachineType, log *slog.Logger) *Core {
 	c := &Core{set: set, log: log, token: token, start: now, rev: snap.Revision,
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, machines: map[string]*model.Machine{},
-		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]bool{},
+		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
 		dirtyJobs: map[string]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt: now.Add(set.SilentAfter)}
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -198,6 +198,9 @@
 	}
 	switch t.Cause {
 	case model.CauseDone:
+		if !a.RunningAt.IsZero() && !j.Restarted(i) {
+			c.runs.observe(j.Spec, now.Sub(a.RunningAt))
+		}
 		if j.Spec.Shape == model.Gang {
 			// When one task of a gang is done, all are.
 			for k := 0; k < j.Spec.Tasks; k++ {
@@ -378,7 +381,7 @@
 		if !a.RunningAt.IsZero() {
 			ran = now.Sub(a.RunningAt)
 		}
-		if j.Spec.Shape == model.Array && j.Spec.Checkpoint == 0 && j.Spec.Estimate-ran < left {
+		if j.Spec.Shape == model.Array && j.Spec.Checkpoint == 0 && c.runs.estimate(j.Spec)-ran < left {
 			continue
 		}
 		c.halt(now, a)
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -158,15 +158,16 @@
 	if a.Job.Spec.Shape == model.Service {
 		return false
 	}
-	left := a.Job.Spec.Estimate - now.Sub(a.RunningAt)
+	estimate := c.runs.estimate(a.Job.Spec)
+	left := estimate - now.Sub(a.RunningAt)
 	if a.RunningAt.IsZero() {
-		left = a.Job.Spec.Estimate
+		left = estimate
 		if r := a.Machine.Type.FetchGBPerS; r > 0 && a.Phase != model.Waiting {
 			fetch := time.Duration(a.Job.Spec.ImageGB / r * float64(time.Second))
 			left += max(0, fetch-now.Sub(a.LaunchedAt))
 		}
 	} else if left < 0 {
-		left = a.Job.Spec.Estimate / 2 // it takes longer than its owner thought
+		left = estimate / 2 // it takes longer than its owner thought
 	}
 	return left < time.Duration(c.set.Fleet.SoonBoots*float64(a.Machine.Type.Boot))
 }
@@ -267,6 +268,7 @@
 func (c *Core) slack(now time.Time, j *model.Job, started bool) (slack time.Duration, due bool) {
 	s := j.Spec
 	age := now.Sub(j.At)
+	estimate := c.runs.estimate(s)
 	slack = -1
 	date := func(left time.Duration) {
 		due = true
@@ -275,17 +277,17 @@
 		}
 	}
 	if s.Deadline > 0 {
-		date(s.Deadline - age - s.Estimate)
+		date(s.Deadline - age - estimate)
 	}
 	for _, a := range c.set.Aims[s.Class] {
 		if a.Start > 0 && !started {
 			date(a.Start - age)
 		}
 		if a.Finish > 0 {
-			date(a.Finish - age - s.Estimate)
+			date(a.Finish - age - estimate)
 		}
 		if a.Times > 0 && s.Deadline > 0 {
-			date(time.Duration(a.Times*float64(s.Deadline)) - age - s.Estimate)
+			date(time.Duration(a.Times*float64(s.Deadline)) - age - estimate)
 		}
 	}
 	return slack, due
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -45,6 +45,7 @@
 
 	Bits     []byte       // finished tasks, a bit each
 	Dirty    map[int]bool // chunks of Bits that are not durable yet
+	again    map[int]bool // tasks that were started more than once: their last run is not a whole one
 	Recorded map[int]bool // chunks that a record was ever written of
 	saved    []byte       // the part of Bits that is durable
 
@@ -71,7 +72,7 @@
 // NewJob makes the leader's view of an accepted job.
 func NewJob(s *Spec, at time.Time, version uint64) *Job {
 	j := &Job{Spec: s, At: at, Version: version, WaitSince: at, tasks: make([]TaskState, s.Tasks),
-		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[int]bool{}, Recorded: map[int]bool{}, ErrorOn: map[string]int{}}
+		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[int]bool{}, Recorded: map[int]bool{}, again: map[int]bool{}, ErrorOn: map[string]int{}}
 	j.counts[TaskNew] = s.Tasks
 	for i := s.Tasks - 1; i >= 0; i-- {
 		j.pending[TaskNew] = append(j.pending[TaskNew], i)
@@ -107,7 +108,9 @@
 	switch s {
 	case TaskNew, TaskRestart, TaskYielded:
 		j.pending[s] = append(j.pending[s], i)
+		j.again[i] = true
 	case TaskDone:
+		delete(j.again, i)
 		j.Bits[i/8] |= 1 << (i % 8)
 	}
 }
@@ -138,6 +141,9 @@
 	return 0, false
 }
 
+// Restarted tells whether a task was started more than once.
+func (j *Job) Restarted(i int) bool { return j.again[i] }
+
 // Load applies a chunk of the finished-task record, whose first bit is task
 // from.
 func (j *Job) Load(from int, bits []byte) {
