--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 	for {
 		select {
 		case <-n.ctx.Done():
+			n.stepDown(time.Now())
 			return nil
 		case f := <-n.inbox:
 			now := time.Now()
@@ -197,6 +198,19 @@
 	}
 }
 
+// stepDown gives the leadership up in order, so that nobody has to wait for its
+// lease.
+func (n *Node) stepDown(now time.Time) {
+	for _, e := range n.elect.Step(now, election.Resign{}) {
+		if d, ok := e.(election.Drop); ok {
+			n.right.Store(nil)
+			if err := n.state.Drop(d.Lease); err != nil {
+				n.log.Warn("the lease was not given up", "err", err)
+			}
+		}
+	}
+}
+
 // post hands a piece of work to the loop.
 func (n *Node) post(f func(now time.Time)) {
 	select {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -14,38 +14,43 @@
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
-// Client sends commands to workers, over one connection a worker.
+// Client sends commands to workers, over few connections a worker.
 type Client struct {
 	timeout time.Duration
 	mu      sync.Mutex
-	byAddr  map[string]*rpc.Client
+	byAddr  map[string]*conn
 }
 
+type conn struct {
+	client *rpc.Client
+	used   time.Time
+}
+
+// unused is when a worker that nothing was sent to is forgotten: machines come
+// and go, and their addresses with them.
+const unused = 2 * time.Minute
+
 // New makes a client.
 func New(timeout time.Duration) *Client {
-	return &Client{timeout: timeout, byAddr: map[string]*rpc.Client{}}
+	return &Client{timeout: timeout, byAddr: map[string]*conn{}}
 }
 
-func (c *Client) client(addr string) *rpc.Client {
+func (c *Client) client(addr string, now time.Time) *rpc.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cl := c.byAddr[addr]
-	if cl == nil {
-		cl = rpc.New(addr, 2)
-		c.byAddr[addr] = cl
-	}
-	return cl
-}
-
-// Drop forgets a worker that is gone.
-func (c *Client) Drop(addr string) {
-	c.mu.Lock()
-	cl := c.byAddr[addr]
-	delete(c.byAddr, addr)
-	c.mu.Unlock()
-	if cl != nil {
-		cl.Close()
+	e := c.byAddr[addr]
+	if e == nil {
+		for a, old := range c.byAddr {
+			if now.Sub(old.used) > unused {
+				old.client.Close()
+				delete(c.byAddr, a)
+			}
+		}
+		e = &conn{client: rpc.New(addr, 2)}
+		c.byAddr[addr] = e
 	}
+	e.used = now
+	return e.client
 }
 
 // Reply is what became of commands.
@@ -58,7 +63,7 @@
 
 // Commands sends commands. The caller checks its right to act right before.
 func (c *Client) Commands(addr string, token, session uint64, orders []model.Order) Reply {
-	out, err := c.client(addr).Call(fasthttp.MethodPost, "/commands", wire.AppendCommands(nil, token, session, orders), c.timeout)
+	out, err := c.client(addr, time.Now()).Call(fasthttp.MethodPost, "/commands", wire.AppendCommands(nil, token, session, orders), c.timeout)
 	var s *rpc.StatusError
 	switch {
 	case err == nil:
