--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -266,41 +266,36 @@
 	return v.State, done, 0
 }
 
-func (s *Server) poll(c *fasthttp.RequestCtx, id string) {
-	if !wire.JobIDValid(id) {
+// about answers a request about one job: ask finds its state out, answer writes
+// the body for a job that is known.
+func (s *Server) about(c *fasthttp.RequestCtx, id string, wait time.Duration, ask func(context.Context, string) (store.JobView, error),
+	answer func(v store.JobView) []byte) {
+	var v store.JobView
+	if wire.JobIDValid(id) {
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+		var err error
+		if v, err = ask(ctx, id); err != nil {
+			s.unavailable(c, "the state service does not answer")
+			return
+		}
+	}
+	if v.State == wire.StateUnknown {
 		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), pollWait)
-	defer cancel()
-	v, err := s.jobs.Lookup(ctx, id)
-	switch {
-	case err != nil:
-		s.unavailable(c, "the state service does not answer")
-	case v.State == wire.StateUnknown:
-		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
-	default:
+	s.reply(c, fasthttp.StatusOK, answer(v))
+}
+
+func (s *Server) poll(c *fasthttp.RequestCtx, id string) {
+	s.about(c, id, pollWait, s.jobs.Lookup, func(v store.JobView) []byte {
 		st, done, running := s.state(id, v)
-		s.reply(c, fasthttp.StatusOK, wire.AppendStatus(nil, id, st, done, running))
-	}
+		return wire.AppendStatus(nil, id, st, done, running)
+	})
 }
 
 func (s *Server) withdraw(c *fasthttp.RequestCtx, id string) {
-	if !wire.JobIDValid(id) {
-		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), userWait)
-	defer cancel()
-	v, err := s.jobs.Cancel(ctx, id)
-	switch {
-	case err != nil:
-		s.unavailable(c, "the state service does not answer")
-	case v.State == wire.StateUnknown:
-		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
-	default:
-		s.reply(c, fasthttp.StatusOK, wire.AppendShortStatus(nil, id, v.State))
-	}
+	s.about(c, id, userWait, s.jobs.Cancel, func(v store.JobView) []byte { return wire.AppendShortStatus(nil, id, v.State) })
 }
 
 // reportWait bounds how long a report may wait for its answer: its worker drops
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/peer/peerpb"
+)
+
+// leader answers relayed reports, and notes what it is told.
+type leader struct {
+	told chan *peerpb.Progress
+	hang chan struct{}
+}
+
+func (l *leader) Relay(ctx context.Context, report []byte) *peerpb.RelayAnswer {
+	if string(report) == "hang" {
+		select {
+		case <-l.hang:
+		case <-ctx.Done():
+		}
+		return &peerpb.RelayAnswer{}
+	}
+	return &peerpb.RelayAnswer{Act: true, Body: append([]byte("answer to "), report...)}
+}
+
+func (l *leader) Progress(p *peerpb.Progress) { l.told <- p }
+
+func start(t *testing.T) (*leader, string) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &leader{told: make(chan *peerpb.Progress, 1), hang: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(ctx, l, h) }()
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		if err := <-ended; err != nil {
+			t.Errorf("serving ended with %v", err)
+		}
+	})
+	return h, l.Addr().String()
+}
+
+func TestReportsAreRelayedAndProgressIsTold(t *testing.T) {
+	h, addr := start(t)
+	c := NewClient(addr)
+	for _, report := range []string{"one", "two"} {
+		a, err := c.Relay(t.Context(), []byte(report))
+		if err != nil || !a.GetAct() || string(a.GetBody()) != "answer to "+report {
+			t.Fatalf("%s: got %v, %v", report, a, err)
+		}
+	}
+	if err := c.Progress(&peerpb.Progress{Token: 7, Member: "tiller-1", Jobs: []*peerpb.JobProgress{{Id: "wk-000001", Done: 3}}}); err != nil {
+		t.Fatal(err)
+	}
+	if p := <-h.told; p.GetToken() != 7 || p.GetMember() != "tiller-1" || p.GetJobs()[0].GetDone() != 3 {
+		t.Errorf("told %v", p)
+	}
+}
+
+// A leader that does not answer holds a report up no longer than its caller
+// allows, and the next report gets through on a connection of its own.
+func TestALeaderThatHangsHoldsNobodyUp(t *testing.T) {
+	_, addr := start(t)
+	c := NewClient(addr)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(0, cancel)
+	if _, err := c.Relay(ctx, []byte("hang")); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v", err)
+	}
+	if a, err := c.Relay(t.Context(), []byte("next")); err != nil || !a.GetAct() {
+		t.Errorf("the next report: got %v, %v", a, err)
+	}
+}
+
+func TestAnUnreachableLeaderIsAnError(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	if a, err := NewClient(addr).Relay(t.Context(), []byte("x")); err == nil {
+		t.Errorf("got %v", a)
+	}
+}
