Health: a controller alone without the state service counts itself out

Guards against users held at a controller that the state service refuses alone. It goes by the leader's word, which in an outage for all falls silent first. Stories of a gang that is incomplete and one that is stopped in order.

--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -377,6 +377,32 @@
 	}
 }
 
+func TestGangThatIsNotCompleteInTimeStartsAgain(t *testing.T) {
+	w := deployment(t, 2)
+	w.Workers["n-000002"].Slow = 40 * second // longer than a gang waits
+	s := job(model.Gang, 2, func(s *model.Spec) { s.Need.CPU = 6 })
+	submit(t, w, s)
+	until(t, w, 60*second, "the task that waited gave up", func() bool { return w.Starts[model.TaskID{Job: s.ID, Index: 0}] > 1 })
+	w.Workers["n-000002"].Slow = 0
+	until(t, w, 150*second, "done", done(t, w, s))
+}
+
+func TestGangUnderNoticeStopsInOrderAndGoesOn(t *testing.T) {
+	w := deployment(t, 4)
+	w.Run = 40 * second
+	s := job(model.Gang, 2, func(s *model.Spec) { s.Need.CPU = 6; s.Checkpoint = 10 * second; s.Save = 2 * second })
+	submit(t, w, s)
+	until(t, w, 30*second, "the tasks are there", func() bool { return on(w, s) == 2 })
+	w.Pass(2 * second) // they run
+	k := w.Workers[w.On(model.TaskID{Job: s.ID})[0]]
+	k.Notice, k.changed = 10*second, true
+	until(t, w, 5*second, "both tasks have saved", func() bool {
+		return w.Saves[model.TaskID{Job: s.ID}] == 1 && w.Saves[model.TaskID{Job: s.ID, Index: 1}] == 1
+	})
+	until(t, w, 30*second, "runs elsewhere", func() bool { return on(w, s) == 2 && len(w.On(model.TaskID{Job: s.ID})) == 1 })
+	until(t, w, 90*second, "done", done(t, w, s))
+}
+
 func TestRentalInDoubtIsNotRepeatedUnderAnotherName(t *testing.T) {
 	w := deployment(t, 0)
 	w.CloudMute = true
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -35,6 +35,7 @@
 	Cut     bool // neither reports nor commands get through
 	Sick    bool // fails every task
 	Notice  time.Duration
+	Slow    time.Duration // how much longer its fetches take
 
 	renewed time.Time // when the last answered report was sent, or the session began
 	nextRep time.Time
@@ -97,7 +98,7 @@
 
 func (k *Worker) launch(key model.AttemptKey, now time.Time) *Task {
 	k.w.Starts[key.Task]++
-	t := &Task{ID: key.Task, Try: key.Try, Spec: k.w.Specs[key.Task.Job], Phase: model.Fetching, until: now.Add(k.w.Fetch)}
+	t := &Task{ID: key.Task, Try: key.Try, Spec: k.w.Specs[key.Task.Job], Phase: model.Fetching, until: now.Add(k.w.Fetch + k.Slow)}
 	if t.Spec == nil {
 		t.Phase, t.Cause = model.Exited, model.CauseUnknown
 		return t
@@ -157,6 +158,7 @@
 		case model.Saving:
 			k.changed = true
 			t.Phase, t.Cause, t.Saved = model.Exited, model.CauseStopped, true
+			k.w.Saves[t.ID]++
 		}
 	}
 	if !k.Cut && (!now.Before(k.nextRep) || k.changed && now.Sub(k.lastRep) >= 500*time.Millisecond) {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,6 +39,7 @@
 	Hold   bool     // hold direct commands back and give their senders up
 	Broken []string // rules that were broken
 	Starts map[model.TaskID]int
+	Saves  map[model.TaskID]int // orderly stops that saved
 	seen   map[string]bool
 }
 
@@ -83,7 +84,7 @@
 	w := &World{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), Workers: map[string]*Worker{}, Specs: map[string]*model.Spec{},
 		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, Teams: map[string]model.Team{},
 		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
-		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{},
+		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
 		seen: map[string]bool{}}
 	w.State = NewState(func() time.Time { return w.now })
 	for _, t := range set.Teams {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -595,5 +595,17 @@
 // Team finds a team.
 func (n *Node) Team(name string) *model.Team { return n.teams[name] }
 
-// Healthy tells whether this controller can take requests.
-func (n *Node) Healthy() bool { return n.jobs.Loaded() && len(n.Types()) > 0 }
+// Healthy tells whether this controller can take requests. Without the state
+// service it cannot, but if that is out for all, there is nobody to send users to
+// instead. So it only counts itself out while it hears a leader, whose right to
+// act shows that the state service answers others. In an outage for all that
+// right lapses before this controller has been without for long enough.
+func (n *Node) Healthy() bool {
+	now := time.Now()
+	if !n.jobs.Loaded() || len(n.Types()) == 0 {
+		return false
+	}
+	alone := n.state.Down(now) > config.Election(n.plat, n.oper).Life+outOfReach
+	h := n.heard.Load()
+	return !alone || h == nil || now.Sub(h.at) > outOfReach/2 || n.right.Load().holds()
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -37,6 +38,7 @@
 	calls, watches Transport
 	reads, writes  *rate.Limiter
 	timeout        time.Duration
+	badSince       atomic.Int64 // when requests began to fail, in nanoseconds; 0: the last one was answered
 }
 
 // New makes a client. The rates are this controller's share.
@@ -73,7 +75,21 @@
 }
 
 func (c *Client) call(method, uri string, body []byte) ([]byte, error) {
-	return c.calls.Call(method, uri, body, c.timeout)
+	out, err := c.calls.Call(method, uri, body, c.timeout)
+	if err == nil || rpc.Status(err) != 0 && rpc.Status(err) != fasthttp.StatusServiceUnavailable {
+		c.badSince.Store(0)
+	} else {
+		c.badSince.CompareAndSwap(0, time.Now().UnixNano())
+	}
+	return out, err
+}
+
+// Down tells for how long requests have failed; 0: the last one was answered.
+func (c *Client) Down(now time.Time) time.Duration {
+	if at := c.badSince.Load(); at != 0 {
+		return now.Sub(time.Unix(0, at))
+	}
+	return 0
 }
 
 // Get reads one key; ok tells whether it exists.
