Returns go one request at a time; preemptions say for whom

The queue never drained: 66 machines stood in 'returning' for minutes, paid for, and rentals waited 3 to 4 s behind them. Seen in the log: status counted 127 machines, 61 of them ready. Change: one return in flight, with all names; none is repeated before its answer.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -86,6 +86,9 @@
 	renting map[string]model.Rental
 	rentAt  map[string]time.Time
 
+	returning bool      // a return is asked for and not answered
+	returnAt  time.Time // none is asked for before this
+
 	saves     []Save
 	saving    bool
 	saveAt    time.Time
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -493,11 +493,11 @@
 	quiet := c.quietZones(now)
 	var back []string
 	giveBack := func(m *model.Machine, why string) {
-		if len(back) < maxReturn && m.Set(now, model.Returning, why) {
+		if m.Set(now, model.Returning, why) {
 			c.log.Info("returning", "machine", m.Name, "type", m.Type.Name, "why", why, "holding", m.Holding)
-			back = append(back, m.Name)
 		}
 	}
+	ask := !c.returning && !now.Before(c.returnAt)
 	for _, m := range c.machines {
 		if m.State != model.Booting && now.After(m.Deadline) && (m.Session > m.DeadSession || m.Unsure) {
 			c.log.Warn("lease has certainly run out", "machine", m.Name, "session", m.Session)
@@ -522,14 +522,17 @@
 			case c.set.Fleet.Idle(m.Type, m.Spot, now.Sub(m.EmptySince), now.Sub(m.Rented)):
 				giveBack(m, "idle")
 			}
-		case model.Returning:
-			if now.Sub(m.Since) > returnRetry && len(back) < maxReturn {
-				m.Since = now
-				back = append(back, m.Name)
-			}
+		}
+		if ask && m.State == model.Returning && len(back) < maxReturn {
+			back = append(back, m.Name)
 		}
 	}
 	if len(back) > 0 {
+		// One request at a time, and none is repeated before it was answered.
+		// Guards against a queue that grows faster than the cloud's limit lets it
+		// drain: dozens of machines then stood idle, and were paid for, for minutes,
+		// and rentals waited behind their returns.
+		c.returning = true
 		c.emit(Return{back})
 	}
 	for name, at := range c.gone {
@@ -601,7 +604,7 @@
 
 const (
 	maxReturn   = 100 // machines in one request
-	returnRetry = 5 * time.Second
+	returnEvery = time.Second
 	goneKept    = 15 * time.Minute
 )
 
@@ -633,15 +636,15 @@
 }
 
 func (c *Core) returnBack(now time.Time, ev ReturnBack) {
+	c.returning, c.returnAt = false, now.Add(returnEvery)
+	if ev.Outcome != OK {
+		return // they are asked for again
+	}
 	for _, name := range ev.Machines {
 		m := c.machines[name]
 		if m == nil {
 			continue
 		}
-		if ev.Outcome != OK {
-			m.Since = now.Add(-returnRetry + time.Second)
-			continue
-		}
 		// It and everything on it are gone.
 		c.loseAll(now, m, "returned")
 		if m.Unsure {
@@ -687,7 +690,6 @@
 		}
 		if l.Failed && m.State != model.Returning && m.Set(now, model.Returning, "failed") {
 			c.log.Info("returning", "machine", m.Name, "why", "failed", "holding", m.Holding)
-			c.emit(Return{[]string{m.Name}})
 		}
 	}
 }
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -33,7 +33,8 @@
 		c.launch(now, pl, try)
 	}
 	for _, v := range plan.Stop {
-		c.log.Info("preempting", "task", v.Attempt.Task, "machine", v.Attempt.Machine.Name, "rank", v.Rank.String(), "over", v.Over)
+		c.log.Info("preempting", "task", v.Attempt.Task, "machine", v.Attempt.Machine.Name, "rank", v.Rank.String(), "over", v.Over,
+			"loss", v.Loss, "for", v.For.Job.Spec.ID, "rank_for", v.For.Job.Spec.Rank.String(), "guaranteed", v.For.Guaranteed, "slack", v.For.Slack)
 		v.Attempt.Yields = true
 		c.halt(now, v.Attempt)
 	}
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -533,3 +533,19 @@
 		t.Error("a renewal does not extend the right")
 	}
 }
+
+// Guards against a retry storm: returns that wait for the cloud's limit were
+// sent again every few seconds, machine by machine, until the queue never drained.
+func TestReturnsDoNotPileUpBehindASlowCloud(t *testing.T) {
+	w := deployment(t, 40)
+	w.CloudFull = true
+	w.Pass(3 * time.Minute) // all are idle for long, and are paid for by the minute
+	if w.Returns != 1 {
+		t.Errorf("%d returns asked for while the first waits", w.Returns)
+	}
+	w.CloudFull = false
+	until(t, w, 5*second, "every idle machine is gone", func() bool { return len(w.Workers) == 0 })
+	if w.Returns > 3 {
+		t.Errorf("%d returns for 40 machines", w.Returns)
+	}
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -31,6 +31,9 @@
 	Fetch, Run, Lease, ReportEvery, GangWait, Boot, CancelIn time.Duration
 
 	CloudMute bool // the cloud carries requests out, but its answers are lost
+	CloudFull bool // returns wait in the cloud's queue until this ends
+	Returns   int  // requests to return machines
+	queue     []func()
 	rented    map[string][]string
 	booting   map[string]bootingMachine
 	machines  int
@@ -144,6 +147,7 @@
 	const tick = 50 * time.Millisecond
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(tick)
+		w.drain()
 		for name, b := range w.booting {
 			if !w.now.Before(b.at) {
 				delete(w.booting, name)
@@ -162,6 +166,15 @@
 	}
 }
 
+// drain carries out the returns that wait.
+func (w *World) drain() {
+	for !w.CloudFull && len(w.queue) > 0 {
+		f := w.queue[0]
+		w.queue = w.queue[1:]
+		f()
+	}
+}
+
 func (w *World) names() []string {
 	var names []string
 	for n := range w.Workers {
@@ -456,11 +469,15 @@
 			back(control.RentBack{Rental: e.Rental, Outcome: control.OK, Machines: names})
 		}
 	case control.Return:
-		for _, n := range e.Machines {
-			delete(w.Workers, n)
-			delete(w.booting, n)
-		}
-		back(control.ReturnBack{Machines: e.Machines, Outcome: control.OK})
+		w.Returns++
+		w.queue = append(w.queue, func() {
+			for _, n := range e.Machines {
+				delete(w.Workers, n)
+				delete(w.booting, n)
+			}
+			back(control.ReturnBack{Machines: e.Machines, Outcome: control.OK})
+		})
+		w.drain()
 	case control.List:
 		var list []model.Listed
 		for _, n := range w.names() {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -76,10 +76,16 @@
 	Limited bool // kept back by its team's limit
 }
 
+// Stop ends an attempt to make room.
+type Stop struct {
+	Running
+	For *Want
+}
+
 // Plan is what a pass decides.
 type Plan struct {
 	Place   []Placement
-	Stop    []Running
+	Stop    []Stop
 	Lacking []Shortage
 }
 
@@ -458,7 +464,7 @@
 		found++
 		for _, i := range bestSet {
 			v := best.Victims[i]
-			plan.Stop = append(plan.Stop, v)
+			plan.Stop = append(plan.Stop, Stop{v, w})
 			best.Freeing = best.Freeing.Add(v.Attempt.Need)
 			*stops--
 		}
@@ -503,7 +509,7 @@
 			break
 		}
 		r := v.nd.Victims[v.i]
-		plan.Stop = append(plan.Stop, r)
+		plan.Stop = append(plan.Stop, Stop{r, w})
 		*stops--
 		missing = missing.Sub(r.Attempt.Need)
 		p.Leaving[spec.Team] = p.Leaving[spec.Team].Add(r.Attempt.Need)
