Preemption follows the order, keeps the room that it makes, and weighs what it stops

Per-job logs show single tasks launched and stopped up to 200 times a second: (1) a service that waits to start whole under its team's limit had the first freed CPUs taken by lower work of its team; (2) rank stopped low work that slack put in front again; (3) production waited 4 s for others to save, past its 5 s.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -82,9 +82,12 @@
 
 	gpuNeed map[model.Resources]bool // GPU requests seen: machines are kept for them
 	runs    runTimes
-	refused map[fleet.Offer]time.Time
-	renting map[string]model.Rental
-	rentAt  map[string]time.Time
+	// startCounts: users expect tasks of the class to start in some time, so a
+	// start that is taken back soon was in vain.
+	startCounts map[string]bool
+	refused     map[fleet.Offer]time.Time
+	renting     map[string]model.Rental
+	rentAt      map[string]time.Time
 
 	returning bool      // a return is asked for and not answered
 	returnAt  time.Time // none is asked for before this
@@ -116,13 +119,18 @@
 func New(now time.Time, set Settings, token uint64, snap *Snapshot, types []model.MachineType, log *slog.Logger) *Core {
 	c := &Core{set: set, log: log, token: token, start: now, rev: snap.Revision,
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, machines: map[string]*model.Machine{},
-		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{},
+		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
 		dirtyJobs: map[string]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt: now.Add(set.SilentAfter)}
 	for i := range set.Teams {
 		c.teams[set.Teams[i].Name] = &set.Teams[i]
 	}
+	for class, aims := range set.Aims {
+		for _, a := range aims {
+			c.startCounts[class] = c.startCounts[class] || a.Start > 0
+		}
+	}
 	if len(types) > 0 {
 		c.catalogAt = now.Add(set.CatalogEvery)
 	}
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -34,9 +34,13 @@
 	}
 	for _, v := range plan.Stop {
 		c.log.Info("preempting", "task", v.Attempt.Task, "machine", v.Attempt.Machine.Name, "rank", v.Rank.String(), "over", v.Over,
-			"loss", v.Loss, "for", v.For.Job.Spec.ID, "rank_for", v.For.Job.Spec.Rank.String(), "guaranteed", v.For.Guaranteed, "slack", v.For.Slack)
+			"loss", v.Loss, "at_once", v.AtOnce, "for", v.For.Job.Spec.ID, "rank_for", v.For.Job.Spec.Rank.String(), "guaranteed", v.For.Guaranteed, "slack", v.For.Slack)
 		v.Attempt.Yields = true
-		c.halt(now, v.Attempt)
+		if v.AtOnce && !v.Gang {
+			c.stop(now, v.Attempt, 0)
+		} else {
+			c.halt(now, v.Attempt)
+		}
 	}
 	c.rent(now, plan.Lacking, coming)
 }
@@ -176,14 +180,21 @@
 // victim describes an attempt that might be stopped to make room.
 func (c *Core) victim(now time.Time, a *model.Attempt, guaranteed bool) sched.Running {
 	s := a.Job.Spec
-	v := sched.Running{Attempt: a, Rank: s.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang, Young: true, Saves: s.Checkpoint > 0}
+	v := sched.Running{Attempt: a, Rank: s.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang}
+	if s.Checkpoint > 0 {
+		v.Save = grace(a)
+	}
+	ran := time.Duration(0)
 	if !a.RunningAt.IsZero() {
-		ran := now.Sub(a.RunningAt)
-		v.Loss, v.Young = ran, ran < c.set.Sched.MinRun
-		if s.Checkpoint > 0 {
-			v.Loss = 0 // it saves when it is stopped
+		ran = now.Sub(a.RunningAt)
+		if v.Loss = ran; s.Checkpoint > 0 {
+			// It saves by itself at each checkpoint. Where between two of them it
+			// is depends on its machine's speed and on what it had done before.
+			v.Loss = min(ran, s.Checkpoint/2)
 		}
 	}
+	v.Young = ran < c.set.Sched.MinRun
+	v.Slack, v.Due = c.slack(now, a.Job, true, ran-v.Loss)
 	return v
 }
 
@@ -232,14 +243,14 @@
 			from = model.TaskRestart
 		}
 		n := j.Unfinished()
-		slack, due := c.slack(now, j, restart)
+		slack, due := c.slack(now, j, restart, 0)
 		p.Wants = append(p.Wants, &sched.Want{Job: j, From: from, Restart: restart, Count: n, Cap: n, Slack: slack, Due: due,
 			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
 		return true
 	}
 	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew, model.TaskYielded} {
 		if n := j.Count(st); n > 0 {
-			slack, due := c.slack(now, j, st != model.TaskNew)
+			slack, due := c.slack(now, j, st != model.TaskNew, 0)
 			p.Wants = append(p.Wants, &sched.Want{Job: j, From: st, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack, Due: due,
 				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
 		}
@@ -262,14 +273,15 @@
 	return false
 }
 
-// slack is the time that a job's waiting tasks have left: to the next of its
-// dates that can still be met, less the estimated run time. Dates are the job's
+// slack is the time that a job's tasks have left, which have run for some time
+// or wait: to the next of its dates that can still be met, less the estimated
+// run time that is left. Dates are the job's
 // deadline and what users expect of its class. due tells that it has any date;
 // the slack is negative once none can be met.
-func (c *Core) slack(now time.Time, j *model.Job, started bool) (slack time.Duration, due bool) {
+func (c *Core) slack(now time.Time, j *model.Job, started bool, ran time.Duration) (slack time.Duration, due bool) {
 	s := j.Spec
 	age := now.Sub(j.At)
-	estimate := c.runs.estimate(s)
+	estimate := max(c.runs.estimate(s)-ran, 0)
 	slack = -1
 	date := func(left time.Duration) {
 		due = true
--- a/internal/model/spec.go
+++ b/internal/model/spec.go
@@ -80,6 +80,11 @@
 	return Resources{r.CPU * f, r.GPU * f, r.MemGB * f}
 }
 
+// AtLeastZero returns r with nothing below zero.
+func (r Resources) AtLeastZero() Resources {
+	return Resources{max(r.CPU, 0), max(r.GPU, 0), max(r.MemGB, 0)}
+}
+
 // Fits tells whether r can be taken from free.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPU <= free.CPU+slop && r.GPU <= free.GPU+slop && r.MemGB <= free.MemGB+slop
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -31,12 +31,23 @@
 	Attempt *model.Attempt
 	Rank    model.Rank
 	Over    bool          // its job runs beyond its team's guarantee
-	Loss    time.Duration // work that stopping it loses
-	Young   bool
-	Saves   bool // it takes time to save before it exits
+	Loss    time.Duration // work that it loses if it exits at once
+	Save    time.Duration // time to save before it exits; 0: it never saves
+	Young   bool          // its start would not count for its users
+	Due     bool          // its job has a date to meet
+	Slack   time.Duration // time left to it, less the estimated run time that is left
 	Gang    bool
 }
 
+// least is what stopping the attempt loses at the least: its work, or the time
+// that its machine is busy with saving it.
+func (v *Running) least() time.Duration {
+	if v.Save > 0 {
+		return min(v.Loss, v.Save)
+	}
+	return v.Loss
+}
+
 // Node is a machine as the scheduler sees it.
 type Node struct {
 	Machine *model.Machine
@@ -60,7 +71,8 @@
 	Guaranteed bool           // the job fits into its team's guarantee
 	Zones      map[string]int // tasks that may be in each zone already
 	Cap        int            // how many may be started in this pass, by what else limits them
-	NewOnly    bool
+
+	at standing
 }
 
 // Placement starts one task of a want on a machine.
@@ -79,7 +91,13 @@
 // Stop ends an attempt to make room.
 type Stop struct {
 	Running
-	For *Want
+	For    *Want
+	AtOnce bool // without saving
+}
+
+// stop ends an attempt for a want. Production does not wait for it to save.
+func (plan *Plan) stop(v Running, w *Want) {
+	plan.Stop = append(plan.Stop, Stop{v, w, w.Urgent()})
 }
 
 // Plan is what a pass decides.
@@ -138,21 +156,68 @@
 	return laneSlack
 }
 
+// standing is a place in the order in which work is served.
+type standing struct {
+	tier, lane    int
+	restart       bool
+	slack, waited time.Duration
+	rank          model.Rank
+}
+
+func (w *Want) standing(s *Settings) standing {
+	return standing{w.tier(), w.lane(s), w.Restart, w.Slack, w.Waited, w.Job.Spec.Rank}
+}
+
+// standing is where the tasks of an attempt's job would wait if it were stopped
+// now.
+func (v *Running) standing() standing {
+	at := standing{tier: 2, lane: laneSlack, slack: v.Slack, rank: v.Rank}
+	switch {
+	case v.Rank == model.Production:
+		at.tier = 0
+	case !v.Over:
+		at.tier = 1
+	}
+	switch {
+	case !v.Due:
+		at.lane = laneAge
+	case v.Slack < 0:
+		at.lane = laneLate
+	}
+	return at
+}
+
+// compare is negative if a goes first.
+func (a standing) compare(b standing) int {
+	if c := cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.lane, b.lane)); c != 0 {
+		return c
+	}
+	if a.lane == laneSlack {
+		if a.restart != b.restart {
+			return boolFirst(a.restart)
+		}
+		return cmp.Or(cmp.Compare(a.slack, b.slack), cmp.Compare(b.waited, a.waited))
+	}
+	return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.waited, a.waited))
+}
+
 // Order sorts wants into the order in which they are served.
 func Order(s *Settings, wants []*Want) {
-	slices.SortStableFunc(wants, func(a, b *Want) int {
-		la, lb := a.lane(s), b.lane(s)
-		if c := cmp.Or(cmp.Compare(a.tier(), b.tier()), cmp.Compare(la, lb)); c != 0 {
-			return c
-		}
-		if a.Restart != b.Restart && la == laneSlack {
-			return boolFirst(a.Restart)
-		}
-		if la == laneSlack {
-			return cmp.Or(cmp.Compare(a.Slack, b.Slack), cmp.Compare(b.Waited, a.Waited))
-		}
-		return cmp.Or(cmp.Compare(b.Job.Spec.Rank, a.Job.Spec.Rank), cmp.Compare(b.Waited, a.Waited))
-	})
+	for _, w := range wants {
+		w.at = w.standing(s)
+	}
+	slices.SortStableFunc(wants, func(a, b *Want) int { return a.at.compare(b.at) })
+}
+
+// mayStop tells whether an attempt may be stopped for a want: it has a lower
+// rank, or runs beyond another team's guarantee that the want is inside of. It must
+// also stand behind the want in the order. Guards against two kinds of work that
+// stop each other in turns: one that goes first would take its place back at once.
+func (w *Want) mayStop(v *Running) bool {
+	if v.Rank >= w.Job.Spec.Rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
+		return false
+	}
+	return w.at.compare(v.standing()) < 0
 }
 
 func boolFirst(first bool) int {
@@ -228,10 +293,15 @@
 		room := spec.Need.CountIn(model.Resources{CPU: team.Limit.CPU - p.Used[spec.Team].CPU,
 			GPU: team.Limit.GPU - p.Used[spec.Team].GPU, MemGB: 1e15})
 		limited := room < n
-		if limited && (w.tier() == 0 || w.lane(s) == laneSlack && w.Slack < s.Tight) {
-			p.yield(plan, w, n-max(room, 0), &stops)
+		yields := limited && (w.tier() == 0 || w.lane(s) == laneSlack && w.Slack < s.Tight)
+		if yields {
+			p.yield(plan, w, n, room, &stops)
 		}
 		if spec.Shape != model.Array && limited && w.Count == spec.Tasks {
+			if yields {
+				// It waits to start whole: what it has already is kept for it.
+				p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(room))
+			}
 			plan.Lacking = append(plan.Lacking, Shortage{w, n, true})
 			continue
 		}
@@ -267,7 +337,7 @@
 
 // stage narrows down the machines that are looked at.
 type stage struct {
-	image bool    // only such as have the image, and room that comes at once
+	image bool    // only such as have the image
 	rate  float64 // only such as cost no more than this for a CPU an hour; 0: any
 }
 
@@ -419,8 +489,7 @@
 
 // preempt makes room for tasks that fit nowhere: first it claims what is being
 // freed already, then it stops what loses least among the attempts that may be
-// stopped for this want. Where the stage asks for the image, it stops only what exits
-// without saving. It tells for how many tasks it has found room.
+// stopped for this want. It tells for how many tasks it has found room.
 func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int, st stage) int {
 	spec := w.Job.Spec
 	found := 0
@@ -450,7 +519,7 @@
 				best, bestSet = nd, nil
 				break
 			}
-			set, loss, ok := victims(nd, w, free, *stops, st.image)
+			set, loss, ok := victims(nd, w, free, *stops)
 			if !nd.hasImage(spec) {
 				loss += fetchLoss
 			}
@@ -464,7 +533,7 @@
 		found++
 		for _, i := range bestSet {
 			v := best.Victims[i]
-			plan.Stop = append(plan.Stop, Stop{v, w})
+			plan.stop(v, w)
 			best.Freeing = best.Freeing.Add(v.Attempt.Need)
 			*stops--
 		}
@@ -484,9 +553,11 @@
 
 // yield makes way inside a team's limit: it stops lower work of the same team,
 // what loses least first, and none that has only just begun.
-func (p *Picture) yield(plan *Plan, w *Want, tasks int, stops *int) {
+func (p *Picture) yield(plan *Plan, w *Want, tasks, room int, stops *int) {
 	spec := w.Job.Spec
-	missing := spec.Need.Times(tasks).Sub(p.Leaving[spec.Team])
+	claim := spec.Need.Times(tasks - room)
+	spare := p.Teams[spec.Team].Limit.Sub(p.Used[spec.Team]).Sub(spec.Need.Times(room)).AtLeastZero()
+	missing := claim.Sub(p.Leaving[spec.Team]).Sub(spare)
 	type at struct {
 		nd *Node
 		i  int
@@ -494,14 +565,14 @@
 	var may []at
 	for _, nd := range p.Nodes {
 		for i, v := range nd.Victims {
-			if v.Attempt.Team == spec.Team && v.Rank < spec.Rank && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
-				(v.Saves || w.tier() == 0) {
+			if v.Attempt.Team == spec.Team && v.Rank < spec.Rank && w.mayStop(&v) && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
+				(v.Save > 0 || w.tier() == 0) {
 				may = append(may, at{nd, i})
 			}
 		}
 	}
 	slices.SortStableFunc(may, func(a, b at) int {
-		return cmp.Compare(cost(a.nd.Victims[a.i]), cost(b.nd.Victims[b.i]))
+		return cmp.Compare(cost(&a.nd.Victims[a.i], w), cost(&b.nd.Victims[b.i], w))
 	})
 	taken := map[*Node][]int{}
 	for _, v := range may {
@@ -509,18 +580,20 @@
 			break
 		}
 		r := v.nd.Victims[v.i]
-		plan.Stop = append(plan.Stop, Stop{r, w})
+		plan.stop(r, w)
 		*stops--
 		missing = missing.Sub(r.Attempt.Need)
 		p.Leaving[spec.Team] = p.Leaving[spec.Team].Add(r.Attempt.Need)
 		v.nd.Freeing = v.nd.Freeing.Add(r.Attempt.Need)
 		taken[v.nd] = append(taken[v.nd], v.i)
 	}
-	// What is on its way out is spoken for.
-	p.Leaving[spec.Team] = p.Leaving[spec.Team].Sub(spec.Need.Times(tasks))
-	if l := p.Leaving[spec.Team]; l.CPU < 0 || l.GPU < 0 {
-		p.Leaving[spec.Team] = model.Resources{CPU: max(l.CPU, 0), GPU: max(l.GPU, 0)}
-	}
+	// What is on its way out is spoken for, and so is the room that is free under
+	// the limit but too small as yet. Guards against lower work that takes the
+	// first part of what was made free, and is stopped again in the next pass, over
+	// and over.
+	left := p.Leaving[spec.Team]
+	p.Leaving[spec.Team] = left.Sub(claim).AtLeastZero()
+	p.Used[spec.Team] = p.Used[spec.Team].Add(claim.Sub(left).AtLeastZero())
 	for nd, list := range taken {
 		nd.drop(list)
 	}
@@ -538,22 +611,16 @@
 const fetchLoss = 30 * time.Second
 
 // victims chooses attempts on a node whose end makes room for one task.
-func victims(nd *Node, w *Want, free model.Resources, most int, atOnce bool) ([]int, time.Duration, bool) {
+func victims(nd *Node, w *Want, free model.Resources, most int) ([]int, time.Duration, bool) {
 	spec := w.Job.Spec
 	var may []int
 	for i, v := range nd.Victims {
-		if atOnce && v.Saves {
-			continue
-		}
-		// Production is never stopped for a guarantee: it goes first in the order,
-		// so it would take the place back at once, and the two would stop each
-		// other in turns.
-		if v.Rank < spec.Rank || w.Guaranteed && v.Over && v.Attempt.Team != spec.Team && v.Rank < model.Production {
+		if w.mayStop(&v) {
 			may = append(may, i)
 		}
 	}
 	slices.SortStableFunc(may, func(a, b int) int {
-		return cmp.Compare(cost(nd.Victims[a]), cost(nd.Victims[b]))
+		return cmp.Compare(cost(&nd.Victims[a], w), cost(&nd.Victims[b], w))
 	})
 	var set []int
 	var loss time.Duration
@@ -563,15 +630,25 @@
 		}
 		set = append(set, i)
 		free = free.Add(nd.Victims[i].Attempt.Need)
-		loss += cost(nd.Victims[i])
+		loss += cost(&nd.Victims[i], w)
 	}
 	return set, loss, spec.Need.Fits(free) && len(set) > 0
 }
 
-// cost is what stopping an attempt loses, with a start that would not have
-// counted weighed in.
-func cost(v Running) time.Duration {
-	c := v.Loss + 5*time.Second + time.Duration(v.Rank)*5*time.Second
+// tight is the slack of an attempt that would likely miss its date if stopped.
+const tight = 30 * time.Second
+
+// cost is what stopping an attempt for a want loses, with what its users lose
+// weighed in.
+func cost(v *Running, w *Want) time.Duration {
+	c := v.least()
+	if w.Urgent() {
+		c = v.Loss
+	}
+	c += 5*time.Second + time.Duration(v.Rank)*5*time.Second
+	if v.Due && v.Slack >= 0 && v.Slack < tight {
+		c += 30 * time.Second
+	}
 	if v.Young {
 		c += 30 * time.Second
 	}
