Waiting long passes ahead of the own rank only; the status names teams at their limit

Ruled out: sick machines, jobs that fail, machines that lack. Change: who has waited long passes ahead from where the first of its own rank or a lower one stands.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -467,8 +467,14 @@
 	for _, k := range c.kinds() {
 		kinds[k.name] = fmt.Sprintf("%d(%.0f%%)", k.count, 100*k.used/max(k.cpus, 1e-9))
 	}
+	perTeam := map[string]model.Resources{}
 	for _, m := range c.machines {
 		states[m.State]++
+		for _, a := range m.Rows {
+			if a.Holds() && a.Team != "" {
+				perTeam[a.Team] = perTeam[a.Team].Add(a.Need)
+			}
+		}
 		if m.State == model.Ready {
 			total = total.Add(m.Type.Cap)
 			used = used.Add(m.Used)
@@ -483,8 +489,14 @@
 			live[j.Spec.Class] += n
 		}
 	}
+	teams := map[string]string{} // only those that are near their limit
+	for name, used := range perTeam {
+		if t := c.teams[name]; t != nil && (used.CPU > 0.9*t.Limit.CPU || t.Limit.GPU > 0 && used.GPU > 0.9*t.Limit.GPU) {
+			teams[name] = fmt.Sprintf("%g of %g CPUs, %g of %g GPUs", used.CPU, t.Limit.CPU, used.GPU, t.Limit.GPU)
+		}
+	}
 	c.log.Info("status", "jobs", len(c.jobs), "waiting", waiting, "live", live, "ready", states[model.Ready], "booting", states[model.Booting],
-		"draining", states[model.Draining], "unsettled", c.unsure, "kinds", kinds, "cpus", total.CPU, "cpus_used", used.CPU, "gpus", total.GPU, "gpus_used", used.GPU)
+		"draining", states[model.Draining], "unsettled", c.unsure, "at_limit", teams, "kinds", kinds, "cpus", total.CPU, "cpus_used", used.CPU, "gpus", total.GPU, "gpus_used", used.GPU)
 }
 
 // kind sums up the machines of one type, ordinary or spot.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -207,6 +207,38 @@
 		w.at = w.standing(s)
 	}
 	slices.SortStableFunc(wants, func(a, b *Want) int { return a.at.compare(b.at) })
+	for from := 0; from < len(wants); {
+		to := from
+		for to < len(wants) && wants[to].at.tier == wants[from].at.tier {
+			to++
+		}
+		overtake(wants[from:to])
+		from = to
+	}
+}
+
+// overtake lets those that have waited long pass ahead of what can still meet a
+// date, but only from where the first of their own rank or a lower one stands.
+// Guards against low work without a date that, once it has waited, keeps work of a
+// higher rank from ever meeting one.
+func overtake(tier []*Want) {
+	n := 0
+	for n < len(tier) && tier[n].at.lane == laneOvertake {
+		n++
+	}
+	if n == 0 || n == len(tier) {
+		return
+	}
+	late, rest := slices.Clone(tier[:n]), slices.Clone(tier[n:])
+	out := tier[:0]
+	for _, w := range rest {
+		for len(late) > 0 && (w.at.lane != laneSlack || w.at.rank <= late[0].at.rank) {
+			out = append(out, late[0])
+			late = late[1:]
+		}
+		out = append(out, w)
+	}
+	_ = append(out, late...)
 }
 
 // mayStop tells whether an attempt may be stopped for a want: it has a lower
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -257,3 +257,28 @@
 		}
 	}
 }
+
+// Guards against low work that has no date and passes ahead once it has waited: it
+// kept a team's work of a higher rank from ever starting in time.
+func TestWaitingLongPassesAheadOfTheOwnRankOnly(t *testing.T) {
+	rank := func(id string, r model.Rank, waited time.Duration) *Want {
+		w := want(id, 1, func(s *model.Spec) { s.Rank = r })
+		w.Waited = waited
+		return w
+	}
+	due := func(w *Want, slack time.Duration) *Want {
+		w.Due, w.Slack = true, slack
+		return w
+	}
+	wants := []*Want{rank("low-long", model.Low, 2*time.Minute), rank("normal-long", model.Normal, 2*time.Minute),
+		due(rank("normal-tight", model.Normal, 0), time.Second), due(rank("high-tight", model.High, 0), 0),
+		due(rank("low-loose", model.Low, 0), time.Hour), due(rank("normal-loose", model.Normal, 0), 2*time.Hour)}
+	Order(set, wants)
+	got := ""
+	for _, w := range wants {
+		got += w.Job.Spec.ID + " "
+	}
+	if want := "high-tight normal-long normal-tight low-long low-loose normal-loose "; got != want {
+		t.Errorf("order %s, want %s", got, want)
+	}
+}
