Team accounts are kept as attempts change; victims are looked for only when room is short

Change: accounts by team in Attempt.Set; victims and coming room looked for when something lacks; renting thought over 5 times a second; the heap may grow to four times what lives.

--- a/cmd/glentiller/main.go
+++ b/cmd/glentiller/main.go
@@ -59,6 +59,9 @@
 	// each other.
 	runtime.GOMAXPROCS(1)
 	if mb := p.Deployment.Limits.MemMB; mb > 0 {
+		// The heap is small beside the memory there is, so it is collected rarely; the
+		// limit holds all the same.
+		debug.SetGCPercent(rareGC)
 		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
@@ -67,6 +70,9 @@
 	return node.New(p, o, log).Run(ctx)
 }
 
+// rareGC lets the heap grow to four times what lives in it.
+const rareGC = 300
+
 // memoryShare is the part of the machine's memory that the Go heap may fill
 // before it is collected harder; the rest is for stacks, code and buffers.
 const memoryShare = 0.6
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -76,9 +76,10 @@
 	jobs     map[string]*model.Job
 	order    []*model.Job // by acceptance, ended ones removed lazily
 	machines map[string]*model.Machine
-	gone     map[string]time.Time // machines that the cloud has taken back
-	used     map[string]model.Resources
-	unsure   int // machines that may hold tasks that nobody here knows
+	gone     map[string]time.Time    // machines that the cloud has taken back
+	use      map[string]*model.Usage // by team
+	stray    model.Usage             // of attempts whose job has ended and whose needs are not known any more
+	unsure   int                     // machines that may hold tasks that nobody here knows
 
 	gpuNeed map[model.Resources]bool // GPU requests seen: machines are kept for them
 	runs    runTimes
@@ -98,8 +99,8 @@
 	dirtyJobs map[string]bool
 	flushAt   time.Time
 
-	dirty     bool // the picture has changed since the last pass
-	passAt    time.Time
+	dirty     bool      // the picture has changed since the last pass
+	rentedAt  time.Time // when renting was last thought over
 	lastPass  time.Time
 	listAt    time.Time
 	catalogAt time.Time
@@ -119,12 +120,13 @@
 func New(now time.Time, set Settings, token uint64, snap *Snapshot, types []model.MachineType, log *slog.Logger) *Core {
 	c := &Core{set: set, log: log, token: token, start: now, rev: snap.Revision,
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, machines: map[string]*model.Machine{},
-		gone: map[string]time.Time{}, used: map[string]model.Resources{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
+		gone: map[string]time.Time{}, use: map[string]*model.Usage{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
 		dirtyJobs: map[string]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt: now.Add(set.SilentAfter)}
 	for i := range set.Teams {
 		c.teams[set.Teams[i].Name] = &set.Teams[i]
+		c.use[set.Teams[i].Name] = &model.Usage{}
 	}
 	for class, aims := range set.Aims {
 		for _, a := range aims {
@@ -174,6 +176,17 @@
 	return m
 }
 
+// usage is the account of a team. One that the settings do not name has one too:
+// its jobs may have been accepted under other settings.
+func (c *Core) usage(team string) *model.Usage {
+	u := c.use[team]
+	if u == nil {
+		u = &model.Usage{}
+		c.use[team] = u
+	}
+	return u
+}
+
 // typeOf finds a machine type. A type that the catalogue does not (yet) list
 // has no room: nothing is placed on it.
 func (c *Core) typeOf(name string) *model.MachineType {
@@ -467,14 +480,8 @@
 	for _, k := range c.kinds() {
 		kinds[k.name] = fmt.Sprintf("%d(%.0f%%)", k.count, 100*k.used/max(k.cpus, 1e-9))
 	}
-	perTeam := map[string]model.Resources{}
 	for _, m := range c.machines {
 		states[m.State]++
-		for _, a := range m.Rows {
-			if a.Holds() && a.Team != "" {
-				perTeam[a.Team] = perTeam[a.Team].Add(a.Need)
-			}
-		}
 		if m.State == model.Ready {
 			total = total.Add(m.Type.Cap)
 			used = used.Add(m.Used)
@@ -490,7 +497,8 @@
 		}
 	}
 	teams := map[string]string{} // only those that are near their limit
-	for name, used := range perTeam {
+	for name, use := range c.use {
+		used := use.Held
 		if t := c.teams[name]; t != nil && (used.CPU > 0.9*t.Limit.CPU || t.Limit.GPU > 0 && used.GPU > 0.9*t.Limit.GPU) {
 			teams[name] = fmt.Sprintf("%g of %g CPUs, %g of %g GPUs", used.CPU, t.Limit.CPU, used.GPU, t.Limit.GPU)
 		}
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -142,14 +142,14 @@
 	if j == nil || t.Task.Index >= j.Spec.Tasks {
 		// Of a job that has ended. What it takes is not known any more, so it
 		// counts as taking the whole machine, for every team, until it is gone.
-		a.Job, a.Need = nil, m.Type.Cap
+		a.Job, a.Need, a.Use = nil, m.Type.Cap, &c.stray
 		a.Set(model.Present)
 		if t.Phase != model.Exited {
 			c.stop(now, a, 0)
 		}
 		return a
 	}
-	a.Need, a.Team = j.Spec.Need, j.Spec.Team
+	a.Need, a.Team, a.Use = j.Spec.Need, j.Spec.Team, c.usage(j.Spec.Team)
 	a.Set(model.Present)
 	m.Images[j.Spec.Image] = now
 	if t.Phase == model.Exited {
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -14,7 +14,7 @@
 	if len(c.types) == 0 {
 		return
 	}
-	p, coming := c.picture(now)
+	p := c.picture(now)
 	if len(p.Wants) == 0 {
 		c.consolidate(now, p)
 		return
@@ -42,7 +42,7 @@
 			c.halt(now, v.Attempt)
 		}
 	}
-	c.rent(now, plan.Lacking, coming)
+	c.rent(now, plan.Lacking)
 }
 
 // consolidate moves one replica from a dear machine to a cheap one.
@@ -69,7 +69,7 @@
 		return
 	}
 	a := &model.Attempt{Task: model.TaskID{Job: j.Spec.ID, Index: i}, Try: try, Job: j, Machine: m, Session: m.Session,
-		Need: j.Spec.Need, Team: j.Spec.Team, LaunchedAt: now}
+		Need: j.Spec.Need, Team: j.Spec.Team, Use: c.usage(j.Spec.Team), LaunchedAt: now}
 	a.Set(model.Launching)
 	m.Rows[model.AttemptKey{Task: a.Task, Try: try}] = a
 	j.Live[i] = a
@@ -88,70 +88,74 @@
 		now.Sub(m.LastReport) <= c.set.SilentAfter/2
 }
 
-// picture shows the scheduler what there is.
-func (c *Core) picture(now time.Time) (*sched.Picture, []*fleet.Coming) {
-	p := &sched.Picture{Used: map[string]model.Resources{}, Leaving: map[string]model.Resources{}, Teams: c.teams, Zones: c.set.Zones}
+// picture shows the scheduler what there is. It looks at machines, not at what is
+// on them: teams' accounts are kept as attempts change, and what could be stopped is
+// looked for only when room is short. Guards against passes that grow with all that
+// runs, so that at hundreds of machines reports wait behind them.
+func (c *Core) picture(now time.Time) *sched.Picture {
+	p := &sched.Picture{Used: make(map[string]model.Resources, len(c.use)), Leaving: make(map[string]model.Resources, len(c.use)),
+		Teams: c.teams, Zones: c.set.Zones, Nodes: make([]*sched.Node, 0, len(c.machines))}
 	guaranteed := c.guaranteed()
-	strict := false
 	for _, j := range c.order {
-		strict = c.wants(now, p, j, guaranteed[j]) || strict
+		c.wants(now, p, j, guaranteed[j])
 	}
-	var coming []*fleet.Coming
-	var unknown model.Resources // of attempts whose team is not known, and of unsettled machines
+	unknown := c.stray.Held // of attempts whose team is not known, and of unsettled machines
+	nodes := make([]sched.Node, 0, len(c.machines))
+	for _, m := range c.machines {
+		if m.Unsure {
+			unknown = unknown.Add(m.Type.Cap) // its worst case
+		} else if c.placeable(now, m) {
+			nodes = append(nodes, sched.Node{Machine: m, Free: m.Free(), ForGPU: c.forGPU(m.Type, m.Spot)})
+			p.Nodes = append(p.Nodes, &nodes[len(nodes)-1])
+		}
+	}
+	for t, u := range c.use {
+		p.Used[t], p.Leaving[t] = u.Held.Add(unknown), u.Leaving
+	}
+	p.Look = func() {
+		for _, nd := range p.Nodes {
+			for _, a := range nd.Machine.Rows {
+				switch {
+				case !a.Holds() || a.Job == nil:
+				case a.State == model.Stopping:
+					nd.Freeing = nd.Freeing.Add(a.Need)
+				case a.Job.State == model.JobActive:
+					nd.Victims = append(nd.Victims, c.victim(now, a, guaranteed[a.Job]))
+				}
+			}
+		}
+	}
+	return p
+}
+
+// coming is the room that comes without renting.
+func (c *Core) coming(now time.Time) []*fleet.Coming {
+	var out []*fleet.Coming
 	for _, m := range c.machines {
 		if m.State == model.Booting {
-			coming = append(coming, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot})
+			out = append(out, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot})
 			continue
 		}
-		if m.Unsure {
-			unknown = unknown.Add(m.Type.Cap) // its worst case
+		if m.Unsure || !c.placeable(now, m) {
 			continue
 		}
-		nd := &sched.Node{Machine: m, Free: m.Free()}
-		open := c.placeable(now, m)
 		var soon model.Resources
 		for _, a := range m.Rows {
-			if !a.Holds() {
-				continue
-			}
-			if a.Job == nil {
-				unknown = unknown.Add(a.Need)
-				continue
-			}
-			p.Used[a.Team] = p.Used[a.Team].Add(a.Need)
-			if a.State == model.Stopping {
-				p.Leaving[a.Team] = p.Leaving[a.Team].Add(a.Need)
-			}
-			if !open {
-				continue
-			}
-			if c.endsSoon(now, a) {
+			if a.Holds() && a.Job != nil && c.endsSoon(now, a) {
 				soon = soon.Add(a.Need)
 			}
-			if a.State == model.Stopping {
-				nd.Freeing = nd.Freeing.Add(a.Need)
-			} else if strict && a.Job.State == model.JobActive {
-				nd.Victims = append(nd.Victims, c.victim(now, a, guaranteed[a.Job]))
-			}
 		}
-		if open {
-			nd.ForGPU = c.forGPU(m.Type, m.Spot)
-			p.Nodes = append(p.Nodes, nd)
-			if soon != (model.Resources{}) {
-				soon = soon.Add(nd.Free)
-				coming = append(coming, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Soon: &soon})
-			}
+		if soon != (model.Resources{}) {
+			soon = soon.Add(m.Free())
+			out = append(out, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Soon: &soon})
 		}
 	}
-	for t := range c.teams {
-		p.Used[t] = p.Used[t].Add(unknown)
-	}
 	for _, r := range c.renting {
 		for n := 0; n < r.Count; n++ {
-			coming = append(coming, &fleet.Coming{Type: c.typeOf(r.Type), Zone: r.Zone, Spot: r.Spot})
+			out = append(out, &fleet.Coming{Type: c.typeOf(r.Type), Zone: r.Zone, Spot: r.Spot})
 		}
 	}
-	return p, coming
+	return out
 }
 
 // endsSoon tells whether an attempt has likely ended by the time that a machine
@@ -215,19 +219,19 @@
 	return out
 }
 
-// wants adds what waits of a job, and tells whether room may be made for it.
-func (c *Core) wants(now time.Time, p *sched.Picture, j *model.Job, guaranteed bool) bool {
+// wants adds what waits of a job.
+func (c *Core) wants(now time.Time, p *sched.Picture, j *model.Job, guaranteed bool) {
 	if j.State != model.JobActive || j.Waiting() == 0 {
-		return false
+		return
 	}
 	// A task of a job from before the takeover may sit on a machine that is not
 	// settled yet; a job that was accepted later cannot.
 	if c.unsure > 0 && j.Version <= c.rev || now.Before(j.NotBefore) {
-		return false
+		return
 	}
 	s := j.Spec
 	if s.Shape == model.Gang && len(j.Live) > 0 {
-		return false // the attempt before is not gone yet
+		return // the attempt before is not gone yet
 	}
 	zones := map[string]int{}
 	for _, a := range j.Live {
@@ -246,7 +250,7 @@
 		slack, due := c.slack(now, j, restart, 0)
 		p.Wants = append(p.Wants, &sched.Want{Job: j, From: from, Restart: restart, Count: n, Cap: n, Slack: slack, Due: due,
 			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
-		return true
+		return
 	}
 	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew, model.TaskYielded} {
 		if n := j.Count(st); n > 0 {
@@ -255,7 +259,6 @@
 				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
 		}
 	}
-	return true
 }
 
 // forGPU tells whether machines of a kind are kept for GPU work: such work was
@@ -307,10 +310,16 @@
 }
 
 // rent asks for machines for what fits nowhere.
-func (c *Core) rent(now time.Time, lacking []sched.Shortage, coming []*fleet.Coming) {
-	if len(lacking) == 0 {
+func (c *Core) rent(now time.Time, lacking []sched.Shortage) {
+	if len(lacking) == 0 || len(c.renting) >= maxRenting {
 		return
 	}
+	if now.Before(c.rentedAt.Add(rentEvery)) {
+		c.dirty = true // thought over in a later pass
+		return
+	}
+	c.rentedAt = now
+	coming := c.coming(now)
 	v := &fleet.View{Types: c.types, Coming: coming, Refused: c.refused, Count: map[string]int{}, ForGPU: c.forGPU}
 	for _, m := range c.machines {
 		v.Count[m.Zone]++
@@ -326,5 +335,7 @@
 	}
 }
 
-// maxRenting bounds the rental requests in flight: the cloud takes few a second.
-const maxRenting = 4
+const (
+	maxRenting = 4                      // rental requests in flight: the cloud takes few a second
+	rentEvery  = 200 * time.Millisecond // between thoughts about renting
+)
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -43,6 +43,7 @@
 	Cause   Cause
 	Need    Resources
 	Team    string
+	Use     *Usage // the account of its team, or of what is on machines and nobody knows
 
 	LaunchedAt time.Time
 	RunningAt  time.Time // first seen running
@@ -57,6 +58,14 @@
 	StrayLaunch bool
 }
 
+// Usage is the account of what a team's attempts hold. It is kept as attempts
+// change, so that nobody has to count them.
+type Usage struct {
+	Held    Resources // of all attempts that count as being on machines
+	Leaving Resources // the part of that which was told to stop
+	holding int
+}
+
 // Holds tells whether the attempt counts as being on its machine.
 func (a *Attempt) Holds() bool { return a.State >= Launching && a.State <= Stopping }
 
@@ -73,15 +82,27 @@
 	if !ok {
 		panic(fmt.Sprintf("attempt %v/%d: %v -> %v", a.Task, a.Try, a.State, s))
 	}
-	held := a.Holds()
+	held, leaving := a.Holds(), a.State == Stopping
 	a.State = s
+	if s == Stopping {
+		a.Use.Leaving = a.Use.Leaving.Add(a.Need)
+	}
+	if leaving {
+		a.Use.Leaving = a.Use.Leaving.Sub(a.Need)
+	}
 	if held == a.Holds() {
 		return
 	}
 	if a.Holds() {
+		a.Use.Held = a.Use.Held.Add(a.Need)
+		a.Use.holding++
 		a.Machine.Used = a.Machine.Used.Add(a.Need)
 		a.Machine.Holding++
 	} else {
+		a.Use.Held = a.Use.Held.Sub(a.Need)
+		if a.Use.holding--; a.Use.holding == 0 {
+			a.Use.Held, a.Use.Leaving = Resources{}, Resources{} // no rounding is left behind
+		}
 		a.Machine.Used = a.Machine.Used.Sub(a.Need)
 		a.Machine.Holding--
 		if a.Machine.Holding == 0 {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -115,6 +115,15 @@
 	Leaving map[string]model.Resources // by team, the part of that which was told to stop
 	Teams   map[string]*model.Team
 	Zones   []string
+	Look    func() // fills in what runs on the nodes; called once, when room is short
+}
+
+// look has the nodes show what runs on them.
+func (p *Picture) look() {
+	if p.Look != nil {
+		p.Look()
+		p.Look = nil
+	}
 }
 
 // tier bounds the design's order by the users' ranks and guarantees: production
@@ -525,6 +534,10 @@
 func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int, st stage) int {
 	spec := w.Job.Spec
 	found := 0
+	if lack <= 0 {
+		return 0
+	}
+	p.look()
 	if spec.Shape == model.Gang && spec.Tasks > 1 {
 		return 0
 	}
@@ -586,6 +599,7 @@
 // yield makes way inside a team's limit: it stops lower work of the same team,
 // what loses least first, and none that has only just begun.
 func (p *Picture) yield(plan *Plan, w *Want, tasks, room int, stops *int) {
+	p.look()
 	spec := w.Job.Spec
 	claim := spec.Need.Times(tasks - room)
 	spare := p.Teams[spec.Team].Limit.Sub(p.Used[spec.Team]).Sub(spec.Need.Times(room)).AtLeastZero()
