A new leader asks machines that have not reported, and gives mute ones back

Change: a report interval after the takeover, once nine tenths are settled, the others are sent an empty command; who answers is settled by its answer, who does not is given back at once.

--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -45,6 +45,7 @@
 		m.DeadSession = r.Session - 1
 		m.Errors = map[string]int{}
 	}
+	m.Mute = false
 	m.Session, m.Seq, m.Token, m.LastReport, m.Addr = r.Session, r.Seq, r.Token, now, r.Addr
 	if r.Type != m.Type.Name || m.Type.Cap.CPU < 1e-6 {
 		m.Type = c.typeOf(r.Type)
@@ -468,6 +469,9 @@
 		return
 	}
 	m.Direct = false
+	if len(ev.Orders) == 0 && ev.Report == nil && (ev.Outcome == Unknown || ev.Outcome == Refused) {
+		m.Mute = true // it was asked whether it is there
+	}
 	if ev.Outcome == Unknown {
 		m.HoldOff = now.Add(c.set.DirectHold)
 	} else {
@@ -514,6 +518,8 @@
 			}
 		case model.Ready, model.Unsettled, model.Draining:
 			switch {
+			case m.Unsure && m.Mute && c.fewUnsure():
+				giveBack(m, "silent")
 			case now.Sub(m.LastReport) > c.set.SilentAfter && now.After(c.resumeAt) && !quiet[m.Zone] && !quiet[anyZone]:
 				giveBack(m, "silent")
 			case m.Unsure || m.Holding > 0:
@@ -535,6 +541,7 @@
 		c.returning = true
 		c.emit(Return{back})
 	}
+	c.ask(now)
 	for name, at := range c.gone {
 		if now.Sub(at) > goneKept {
 			delete(c.gone, name)
@@ -557,6 +564,34 @@
 	}
 }
 
+// ask asks the machines that have not reported to a new leader whether they are
+// there, once most have. Guards against a few dead machines, or a single one, that
+// keep all work from before the takeover waiting until their silence is long enough.
+func (c *Core) ask(now time.Time) {
+	if c.unsure == 0 || now.Sub(c.start) < c.set.Report*askAfter || !c.fewUnsure() {
+		return
+	}
+	asked := 0
+	for _, m := range c.machines {
+		if m.Unsure && !m.Mute && !m.Direct && m.Addr != "" && m.State < model.Returning && now.Sub(m.Asked) > askEvery && asked < maxAsked {
+			m.Asked, m.Direct = now, true
+			asked++
+			c.emit(Command{Machine: m.Name, Addr: m.Addr, Session: m.Session})
+		}
+	}
+}
+
+const (
+	askAfter = 1                      // report intervals after the takeover
+	askEvery = 500 * time.Millisecond // between questions to one machine
+	maxAsked = 8                      // at a time
+	fewShare = 10                     // the unsure are few up to a tenth of all machines
+)
+
+// fewUnsure tells that nearly all machines are settled: then those that are not
+// are likely dead, and the fault is not here.
+func (c *Core) fewUnsure() bool { return c.unsure <= max(1, len(c.machines)/fewShare) }
+
 // Deaf tells that no worker at all has been heard for long, although there are
 // several: then this controller is likely the one that is cut off, and another
 // would lead better.
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -549,3 +549,23 @@
 		t.Errorf("%d returns for 40 machines", w.Returns)
 	}
 }
+
+// Guards against a single dead machine that holds up, after a takeover, all work that
+// was accepted before: the new leader asks it, and gives it back when it is mute.
+func TestADeadMachineDoesNotHoldUpATakeover(t *testing.T) {
+	w := deployment(t, 20)
+	w.Run = 2 * second
+	s := job(model.Array, 16, nil) // the team's limit lets eight of them run at once
+	submit(t, w, s)
+	until(t, w, 5*second, "the first half is on machines", func() bool { return on(w, s) == 8 })
+	for _, name := range w.names() {
+		if k := w.Workers[name]; len(k.Tasks) == 0 {
+			k.Cut = true
+			break
+		}
+	}
+	w.Leader().Crash()
+	until(t, w, 10*second, "another leads", func() bool { return w.Leader() != nil })
+	until(t, w, 4500*time.Millisecond, "the second half is started", func() bool { return len(w.Starts) > 8 })
+	until(t, w, 20*second, "done", func() bool { return state(t, w.Leader(), s.ID) == wire.StateDone })
+}
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -186,6 +186,8 @@
 
 	Errors  map[string]int // errors by job
 	Direct  bool           // a direct command is in flight
+	Asked   time.Time      // when a new leader last asked it whether it is there
+	Mute    bool           // it did not answer that
 	HoldOff time.Time      // no direct command before this
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -599,7 +599,6 @@
 // yield makes way inside a team's limit: it stops lower work of the same team,
 // what loses least first, and none that has only just begun.
 func (p *Picture) yield(plan *Plan, w *Want, tasks, room int, stops *int) {
-	p.look()
 	spec := w.Job.Spec
 	claim := spec.Need.Times(tasks - room)
 	spare := p.Teams[spec.Team].Limit.Sub(p.Used[spec.Team]).Sub(spec.Need.Times(room)).AtLeastZero()
@@ -609,7 +608,14 @@
 		i  int
 	}
 	var may []at
+	short := func() bool { return (missing.CPU > 1e-6 || missing.GPU > 1e-6) && *stops > 0 }
+	if short() {
+		p.look()
+	}
 	for _, nd := range p.Nodes {
+		if !short() {
+			break // enough is on its way out
+		}
 		for i, v := range nd.Victims {
 			if v.Attempt.Team == spec.Team && v.Rank < spec.Rank && w.mayStop(&v) && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
 				(v.Save > 0 || w.tier() == 0) {
@@ -622,7 +628,7 @@
 	})
 	taken := map[*Node][]int{}
 	for _, v := range may {
-		if missing.CPU <= 1e-6 && missing.GPU <= 1e-6 || *stops <= 0 {
+		if !short() {
 			break
 		}
 		r := v.nd.Victims[v.i]
