--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -22,6 +22,12 @@
 // deployment is a small one: three controllers, two zones, one team that may use
 // 32 CPUs and another that may use 16.
 func deployment(t *testing.T, machines int) *World {
+	t.Helper()
+	return grown(t, machines, 1)
+}
+
+// grown is the same with teams that may use some times as much.
+func grown(t *testing.T, machines int, times float64) *World {
 	t.Helper()
 	p := &config.Platform{Member: "tiller-0"}
 	d := &p.Deployment
@@ -32,8 +38,8 @@
 	o := config.Defaults()
 	set, el := config.Control(p, o), config.Election(p, o)
 	set.Teams = []model.Team{
-		{Name: "red", Guarantee: model.Resources{CPU: 16}, Limit: model.Resources{CPU: 32}},
-		{Name: "blue", Guarantee: model.Resources{CPU: 8}, Limit: model.Resources{CPU: 16}},
+		{Name: "red", Guarantee: model.Resources{CPU: 16 * times}, Limit: model.Resources{CPU: 32 * times}},
+		{Name: "blue", Guarantee: model.Resources{CPU: 8 * times}, Limit: model.Resources{CPU: 16 * times}},
 	}
 	w := NewWorld(3, set, el, quiet)
 	w.Types = []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Price: 1, SpotPrice: 0.3, Boot: 5 * second, Zones: []string{"a", "b"}}}
@@ -569,3 +575,34 @@
 	until(t, w, 4500*time.Millisecond, "the second half is started", func() bool { return len(w.Starts) > 8 })
 	until(t, w, 20*second, "done", func() bool { return state(t, w.Leader(), s.ID) == wire.StateDone })
 }
+
+// At hundreds of machines and tasks the work that a leader causes grows with what
+// there is to do: each task is started once, records go in batches, and commands are
+// about one a task.
+func TestWorkAtTheGrownSizeIsCounted(t *testing.T) {
+	w := grown(t, 400, 80)
+	var all []*model.Spec
+	for i := range 4 {
+		s := job(model.Array, 300, func(s *model.Spec) { s.Image = fmt.Sprint("img-", i) })
+		all = append(all, s)
+		submit(t, w, s)
+	}
+	before := w.State.Txns
+	for _, s := range all {
+		until(t, w, 90*second, "done", done(t, w, s))
+	}
+	for id, n := range w.Starts {
+		if n != 1 {
+			t.Errorf("%v was started %d times", id, n)
+		}
+	}
+	if len(w.Starts) != 1200 {
+		t.Errorf("%d tasks were started", len(w.Starts))
+	}
+	if txns := w.State.Txns - before; txns > 150 {
+		t.Errorf("%d transactions for 1200 tasks of 4 jobs on 400 machines", txns)
+	}
+	if w.Commands > 1500 {
+		t.Errorf("%d commands for 1200 tasks", w.Commands)
+	}
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -33,6 +33,7 @@
 	CloudMute bool // the cloud carries requests out, but its answers are lost
 	CloudFull bool // returns wait in the cloud's queue until this ends
 	Returns   int  // requests to return machines
+	Commands  int  // requests straight to workers
 	queue     []func()
 	rented    map[string][]string
 	booting   map[string]bootingMachine
@@ -431,6 +432,7 @@
 	w, token := c.w, c.token
 	switch e := e.(type) {
 	case control.Command:
+		w.Commands++
 		ev := control.CommandBack{Machine: e.Machine, Session: e.Session, Orders: e.Orders, Outcome: control.Unknown}
 		deliver := func() (control.Outcome, *model.Report) {
 			k := w.Workers[e.Machine]
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -282,3 +282,32 @@
 		t.Errorf("order %s, want %s", got, want)
 	}
 }
+
+// Guards against a pass that looks at all that runs, at hundreds of machines, although
+// nothing has to make room: it is looked at once, and only where room is short.
+func TestWhatRunsIsLookedAtOnlyWhenRoomIsShort(t *testing.T) {
+	pass := func(tasks int) (looks int, plan *Plan) {
+		var nodes []*Node
+		for i := range 500 {
+			nodes = append(nodes, node(fmt.Sprint("m", i), "a", cheap, 0))
+		}
+		var wants []*Want
+		for i := range 3 {
+			w := want(fmt.Sprint("x", i), tasks, nil)
+			w.Guaranteed = true
+			wants = append(wants, w)
+		}
+		p := picture(nodes, wants...)
+		p.Teams["red"].Limit.CPU = 1e6
+		p.Look = func() { looks++ }
+		plan = Make(set, p)
+		return looks, plan
+	}
+	if looks, plan := pass(300); looks != 0 || len(plan.Place) != 900 {
+		t.Errorf("room for all: looked %d times, placed %d", looks, len(plan.Place))
+	}
+	looks, plan := pass(600)
+	if looks != 1 || len(plan.Place) != 1000 {
+		t.Errorf("room for a thousand of 1800: looked %d times, placed %d", looks, len(plan.Place))
+	}
+}
