--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -57,6 +57,14 @@
 	return out
 }
 
+func ids(wants []*Want) string {
+	out := ""
+	for _, w := range wants {
+		out += w.Job.Spec.ID + " "
+	}
+	return out
+}
+
 // A fuller machine does more work per power, up to 1 when it is full.
 func TestEfficiencyGrowsWithTheBusyShare(t *testing.T) {
 	last := Efficiency(0, 0.7)
@@ -95,11 +103,7 @@
 	prod := want("prod", 1, func(s *model.Spec) { s.Rank = model.Production })
 	wants := []*Want{late, young, loose, old, tight, again, sure, waiting, prod}
 	Order(set, wants)
-	got := ""
-	for _, w := range wants {
-		got += w.Job.Spec.ID + " "
-	}
-	if want := "prod sure waiting again tight loose old young late "; got != want {
+	if got, want := ids(wants), "prod sure waiting again tight loose old young late "; got != want {
 		t.Errorf("order %s, want %s", got, want)
 	}
 }
@@ -274,11 +278,7 @@
 		due(rank("normal-tight", model.Normal, 0), time.Second), due(rank("high-tight", model.High, 0), 0),
 		due(rank("low-loose", model.Low, 0), time.Hour), due(rank("normal-loose", model.Normal, 0), 2*time.Hour)}
 	Order(set, wants)
-	got := ""
-	for _, w := range wants {
-		got += w.Job.Spec.ID + " "
-	}
-	if want := "high-tight normal-long normal-tight low-long low-loose normal-loose "; got != want {
+	if got, want := ids(wants), "high-tight normal-long normal-tight low-long low-loose normal-loose "; got != want {
 		t.Errorf("order %s, want %s", got, want)
 	}
 }
