A session that an answer to a command has shown has a lease of its own

A direct command was answered with a worker's new session; what was launched in that session was dropped when the deadline of the session before had passed, up to 0.5 s later, and started again elsewhere. Ruled out: two leaders (the same token throughout), late launches, commands to the wrong session. Change: the deadline starts anew with the session. Production is never stopped for production (slipped in with the order guard). A story that fails without the repair.

--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -43,6 +43,11 @@
 			c.loseAll(now, m, "new session")
 		}
 		m.DeadSession = r.Session - 1
+		// The new session has a lease of its own, which began before now. Guards
+		// against a session that an answer to a command has shown, and that was taken
+		// for run out when the one before it would have been: what had been started
+		// in it meanwhile was started once more elsewhere.
+		m.Deadline = c.leaseEnd(now)
 		m.Errors = map[string]int{}
 	}
 	m.Mute = false
--- /dev/null
+++ b/internal/control/session_test.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/fleet"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+// Guards against a task that was started twice after a long outage of the state
+// service: the answer to a command showed a worker's new session, a task was started
+// in it, and then the deadline of the session before was taken for the new one's.
+func TestANewSessionHasALeaseOfItsOwn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	types := []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Boot: 5 * time.Second, Zones: []string{"a"}}}
+	set := Settings{Member: "tiller-0", Zones: []string{"a"}, Teams: []model.Team{{Name: "red", Limit: model.Resources{CPU: 100}}},
+		Report: 2 * time.Second, Lease: 12 * time.Second, LeaseMargin: 500 * time.Millisecond, SilentAfter: 7 * time.Second, TxnOps: 12, ChunkTasks: 64,
+		Sched: sched.Settings{IdleShare: 0.7}, Fleet: fleet.Settings{KeepIdle: time.Hour, BootFactor: 100}}
+	c := New(now, set, 1, &Snapshot{}, types, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	step := func(after time.Duration, ev Event) []Effect {
+		now = now.Add(after)
+		return append([]Effect(nil), c.Step(now, ev)...)
+	}
+	report := func(session, seq uint64) *model.Report {
+		return &model.Report{Machine: "n-1", Addr: "n-1", Type: "eight", Zone: "a", Session: session, Seq: seq, Token: 1}
+	}
+	for _, e := range step(0, ReportIn{report(1, 1)}) {
+		if s, ok := e.(Commit); ok {
+			step(0, SaveBack{Saves: s.Saves, Outcome: OK})
+		}
+	}
+	step(time.Second, ReportIn{report(1, 2)}) // the last report that is answered
+	step(time.Second, JobAdded{Version: 9, At: now, Spec: &model.Spec{ID: "wk-1", Team: "red", Shape: model.Array, Rank: model.Normal, Tasks: 1,
+		Need: model.Resources{CPU: 4, MemGB: 8}, Estimate: time.Minute}})
+	launches := func(effects []Effect) (n int) {
+		for _, e := range effects {
+			if cmd, ok := e.(Command); ok && len(cmd.Orders) > 0 && cmd.Orders[0].Op == model.OpLaunch {
+				n++
+			}
+		}
+		return n
+	}
+	// The launch hangs; its answer shows that the worker has begun a new session.
+	first := step(11100*time.Millisecond, CommandBack{Machine: "n-1", Session: 1, Outcome: Refused, Report: report(2, 1)})
+	if n := launches(first) + launches(step(100*time.Millisecond, Tick{})); n != 1 {
+		t.Fatalf("started %d times in the new session", n)
+	}
+	for range 8 { // past the deadline of the old session
+		if n := launches(step(250*time.Millisecond, Tick{})); n != 0 {
+			t.Fatal("started once more")
+		}
+	}
+	if m := c.machines["n-1"]; m.Holding != 1 || m.DeadSession != 1 {
+		t.Errorf("holding %d, sessions up to %d count as over", m.Holding, m.DeadSession)
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -255,6 +255,9 @@
 // also stand behind the want in the order. Guards against two kinds of work that
 // stop each other in turns: one that goes first would take its place back at once.
 func (w *Want) mayStop(v *Running) bool {
+	if v.Rank == model.Production {
+		return false // its users would miss it at once
+	}
 	if v.Rank >= w.Job.Spec.Rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
 		return false
 	}
