--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -39,8 +39,8 @@
 }
 
 type stateLease struct {
-	life, left time.Duration
-	since      time.Time
+	life  time.Duration
+	since time.Time
 }
 
 // NewState makes an empty state service.
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -68,7 +68,6 @@
 	Core   *control.Core
 	token  uint64
 	ver    uint64
-	rev    uint64
 	held   bool
 
 	changes []store.JobChange
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -56,7 +56,6 @@
 	ForGPU  bool            // kept for GPU work: tasks without GPU stay off it
 	Victims []Running
 	claimed model.Resources // of Freeing, promised to wants that go first
-	full    bool
 }
 
 // Want is a number of tasks of one job that wait.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -158,6 +158,13 @@
 	if len(plan.Stop) != 1 || plan.Stop[0].Attempt != spare {
 		t.Errorf("stopped %v", plan.Stop)
 	}
+	nd = node("a1", "a", cheap, 8)
+	running(nd, "blue", model.Production, func(v *Running) { v.Due, v.Slack = true, time.Hour })
+	s := want("s", 1, func(s *model.Spec) { s.Shape, s.Rank = model.Service, model.Production })
+	s.Guaranteed, s.Due, s.Slack = true, true, time.Second
+	if plan = Make(set, picture([]*Node{nd}, s)); len(plan.Stop) != 0 {
+		t.Errorf("stopped %v for other production", plan.Stop)
+	}
 }
 
 func TestWorkThatNobodyMayStopStays(t *testing.T) {
