--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -250,6 +250,11 @@
 	if plan := Make(set, p); len(plan.Place) != 0 {
 		t.Errorf("placed %s", placed(plan))
 	}
+	// What is missing is on its way out: the replica's room is kept, two CPUs are spare.
+	p.Used["red"], p.Leaving["red"] = model.Resources{CPU: 94}, model.Resources{CPU: 8}
+	if plan := Make(set, p); placed(plan) != "low@a1 " {
+		t.Errorf("placed %s", placed(plan))
+	}
 }
 
 // Guards against two kinds of work that stop each other in turns: rank would stop
