--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -7,11 +7,14 @@
 	"github.com/glentiller/glentiller/internal/election"
 	"github.com/glentiller/glentiller/internal/fleet"
 	"github.com/glentiller/glentiller/internal/sched"
+	"github.com/glentiller/glentiller/internal/store"
 )
 
-// valueShare is how much of a value's size limit a chunk of the finished-task
-// record may take: two digits for eight tasks.
-const valueShare = 0.5
+// numbered is how many tasks a numbered chunk of the finished-task record has. The
+// first version went by the limit on a value: half of it, two digits for eight tasks.
+func numbered(valueKB float64) int {
+	return max(int(valueKB*1024/2)/2*8/64*64, 64)
+}
 
 // Control puts together what the core of a leader works by.
 func Control(p *Platform, o *Operator) control.Settings {
@@ -21,7 +24,6 @@
 		// Three reports missed, and time for one try at another controller.
 		silent = Seconds(3*d.Workers.Report) + time.Second
 	}
-	chunk := int(d.State.ValueKB*1024*valueShare) / 2 * 8
 	return control.Settings{
 		Member: p.Member, Teams: p.Teams(), Zones: d.Zones, Aims: aims(d.Objectives),
 		Report: Seconds(d.Workers.Report), Lease: Seconds(d.Workers.Lease), GangWait: Seconds(d.Workers.GangWait),
@@ -34,10 +36,16 @@
 		ListEvery: o.Fleet.List.D(), CatalogEvery: o.Fleet.Catalog.D(),
 		SilentAfter: silent, SilentShare: o.Workers.SilentShare,
 		Backoff: o.Scheduler.Backoff.D(), BackoffMost: o.Scheduler.BackoffMost.D(), SickErrors: o.Workers.SickErrors,
-		DirectHold: o.Workers.DirectHold.D(), Consolidate: o.Scheduler.Consolidate.D(), TxnOps: d.State.TxnOps, ChunkTasks: max(chunk/64*64, 64),
+		DirectHold: o.Workers.DirectHold.D(), Consolidate: o.Scheduler.Consolidate.D(), TxnOps: p.StateLimits().TxnOps, Numbered: numbered(d.State.ValueKB),
 	}
 }
 
+// Store puts together what the records are kept within.
+func Store(p *Platform) store.Limits {
+	l := p.StateLimits()
+	return store.Limits{Value: int(l.ValueKB * 1024), Ops: l.TxnOps}
+}
+
 // Election puts together what the election works by.
 func Election(p *Platform, o *Operator) election.Settings {
 	return election.Settings{Member: p.Member, Life: o.Leadership.Lease.D(), Margin: o.Leadership.Margin.D(),
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -44,10 +44,8 @@
 			Cancel   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			StateLimits
+			Next StateLimits `toml:"next"` // from some moment on; what is missing stays
 		} `toml:"state"`
 		Cloud struct {
 			RPS     float64 `toml:"rps"`
@@ -61,6 +59,31 @@
 	} `toml:"deployment"`
 }
 
+// StateLimits are what the state service takes.
+type StateLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// StateLimits are the limits to keep within: the smaller of the present ones and of
+// those to come, since the change comes without notice.
+func (p *Platform) StateLimits() StateLimits {
+	l, next := p.Deployment.State.StateLimits, p.Deployment.State.Next
+	lower(&l.RPS, next.RPS)
+	lower(&l.WriteRPS, next.WriteRPS)
+	lower(&l.ValueKB, next.ValueKB)
+	lower(&l.TxnOps, next.TxnOps)
+	return l
+}
+
+func lower[N int | float64](to *N, next N) {
+	if next > 0 && next < *to {
+		*to = next
+	}
+}
+
 // Peer is another controller.
 type Peer struct {
 	Member string `toml:"member"`
@@ -101,6 +124,11 @@
 	return p, nil
 }
 
+const (
+	leastOps = 2 // the end of a job takes two changes
+	leastKB  = 1 // a chunk of finished tasks takes half of it
+)
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -172,8 +200,15 @@
 	above("deployment.state.rps", d.State.RPS)
 	above("deployment.state.write_rps", d.State.WriteRPS)
 	above("deployment.state.value_kb", d.State.ValueKB)
-	if d.State.TxnOps < 4 {
-		bad("deployment.state.txn_ops: must be 4 or more")
+	if d.State.Next.RPS < 0 || d.State.Next.WriteRPS < 0 || d.State.Next.ValueKB < 0 || d.State.Next.TxnOps < 0 {
+		bad("deployment.state.next: negative")
+	}
+	l := p.StateLimits()
+	if l.TxnOps < leastOps {
+		bad("deployment.state.txn_ops: must be %d or more, now and next", leastOps)
+	}
+	if l.ValueKB < leastKB {
+		bad("deployment.state.value_kb: must be %d or more, now and next", leastKB)
 	}
 	above("deployment.cloud.rps", d.Cloud.RPS)
 	if d.Cloud.ListLag < 0 {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/glentiller/glentiller/internal/fleet"
@@ -36,7 +37,7 @@
 	DirectHold   time.Duration
 	Consolidate  time.Duration // between moves off dear machines; 0: none
 	TxnOps       int
-	ChunkTasks   int // tasks in a chunk of the finished-task record
+	Numbered     int // tasks in a numbered chunk of the finished-task record, where no record says so
 }
 
 // Aim is what users expect of a class of jobs, as far as the order of waiting
@@ -54,7 +55,9 @@
 type Snapshot struct {
 	Revision uint64
 	Jobs     []JobAdded
-	Done     map[string]map[int][]byte // finished-task chunks by job
+	Done     map[string]map[model.Chunk][]byte // finished tasks by job
+	Numbered int                               // tasks in a numbered chunk; 0: not on record
+	Strays   []Save                            // parts of lists of awaited jobs that no unfinished job owns
 	Machines []model.Listed
 	Needs    []model.Resources // GPU requests that were seen
 }
@@ -74,7 +77,12 @@
 	types    []model.MachineType
 	teams    map[string]*model.Team
 	jobs     map[string]*model.Job
-	order    []*model.Job // by acceptance, ended ones removed lazily
+	order    []*model.Job // by the moment from which their ages count
+	graph    *model.Graph
+	lookAt   time.Time // ends of awaited jobs are not asked for before this
+	looking  bool
+	pathsAt  time.Time            // when the paths behind jobs are looked over again
+	times    map[string][]float64 // by class: the multiples of their deadline by which jobs are to be done
 	machines map[string]*model.Machine
 	gone     map[string]time.Time    // machines that the cloud has taken back
 	use      map[string]*model.Usage // by team
@@ -95,6 +103,7 @@
 
 	saves     []Save
 	saving    bool
+	lone      bool // the last transaction held one save
 	saveAt    time.Time
 	dirtyJobs map[string]bool
 	flushAt   time.Time
@@ -119,7 +128,7 @@
 // New makes the core of a leader that has just taken over.
 func New(now time.Time, set Settings, token uint64, snap *Snapshot, types []model.MachineType, log *slog.Logger) *Core {
 	c := &Core{set: set, log: log, token: token, start: now, rev: snap.Revision,
-		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, machines: map[string]*model.Machine{},
+		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, graph: model.NewGraph(), times: map[string][]float64{}, machines: map[string]*model.Machine{},
 		gone: map[string]time.Time{}, use: map[string]*model.Usage{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
 		dirtyJobs: map[string]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
@@ -131,8 +140,19 @@
 	for class, aims := range set.Aims {
 		for _, a := range aims {
 			c.startCounts[class] = c.startCounts[class] || a.Start > 0
+			if a.Times > 0 && a.Times != 1 {
+				c.times[class] = append(c.times[class], a.Times)
+			}
 		}
+		slices.Sort(c.times[class])
+	}
+	numbered := snap.Numbered
+	if numbered == 0 {
+		// From here on it is on record, whatever the limits become that it went by.
+		numbered = set.Numbered
+		c.saves = append(c.saves, Save{Kind: SaveLayout, Tasks: numbered})
 	}
+	c.saves = append(c.saves, snap.Strays...)
 	if len(types) > 0 {
 		c.catalogAt = now.Add(set.CatalogEvery)
 	}
@@ -151,11 +171,19 @@
 			continue
 		}
 		for chunk, bits := range chunks {
-			j.Load(chunk*set.ChunkTasks, bits)
-			j.Durable(chunk*set.ChunkTasks, bits)
+			from := chunk.First(numbered)
+			j.Load(from, bits)
+			j.Durable(from, bits)
 			j.Recorded[chunk] = true
 		}
-		c.checkEnd(j)
+		c.checkEnd(now, j)
+	}
+	for _, j := range c.jobs {
+		for id := range j.Link.Needs {
+			// What it needs was not done when this leader took over, so no leader
+			// before can have started it: docs/safety.md, "Pipelines".
+			j.Fresh = j.Fresh || c.jobs[id] != nil
+		}
 	}
 	for _, l := range snap.Machines {
 		m := c.newMachine(now, l, model.Unsettled)
@@ -212,7 +240,9 @@
 	case JobAdded:
 		c.addJob(now, ev)
 	case JobEnded:
-		c.endJob(now, ev.ID)
+		c.endJob(now, ev)
+	case EndsIn:
+		c.endsIn(now, ev)
 	case ReportIn:
 		c.reportIn(now, ev.Report)
 	case CommandBack:
@@ -249,6 +279,7 @@
 		c.flush(now)
 	}
 	c.commit(now)
+	c.lookUp(now)
 	if !c.listing && !now.Before(c.listAt) {
 		c.listing = true
 		c.emit(List{})
@@ -305,8 +336,14 @@
 		return
 	}
 	j := model.NewJob(ev.Spec, ev.At, ev.Version)
+	j.Parts = ev.Parts
 	c.jobs[ev.Spec.ID] = j
-	c.order = append(c.order, j)
+	j.Link = c.graph.Add(ev.Spec.ID, ev.Spec.Awaits, ev.At)
+	c.enqueue(j)
+	if len(ev.Spec.Awaits) > 0 {
+		c.pathsAt = now
+		c.checkEnd(now, j)
+	}
 	if need := ev.Spec.Need; need.GPU > 0 && !c.gpuNeed[need] && len(c.gpuNeed) < maxNeeds {
 		// Guards against a new leader that knows no GPU work at the moment, and
 		// fills or rents the dearest machines for anything.
@@ -315,36 +352,49 @@
 	}
 	c.dirty = true
 	c.log.Info("job", "id", ev.Spec.ID, "class", ev.Spec.Class, "team", ev.Spec.Team, "shape", ev.Spec.Shape.String(),
-		"rank", ev.Spec.Rank.String(), "tasks", ev.Spec.Tasks)
+		"rank", ev.Spec.Rank.String(), "tasks", ev.Spec.Tasks, "awaits", len(ev.Spec.Awaits), "link", j.Link.State.String())
 }
 
 // maxNeeds bounds the GPU requests that are kept in mind.
 const maxNeeds = 64
 
 // endJob takes a job that is done or cancelled out of the picture. Attempts of
-// it stay on their machines' accounts until they are gone.
-func (c *Core) endJob(now time.Time, id string) {
-	j := c.jobs[id]
-	if j == nil {
-		return
+// it stay on their machines' accounts until they are gone. The jobs behind it are
+// freed or doomed by nothing else.
+func (c *Core) endJob(now time.Time, ev JobEnded) {
+	if j := c.jobs[ev.ID]; j != nil {
+		c.log.Info("job ended", "id", ev.ID, "done", j.Count(model.TaskDone), "live", len(j.Live), "feeds", len(j.Link.Feeds))
+		j.Set(model.JobEnded)
+		delete(c.jobs, ev.ID)
+		delete(c.dirtyJobs, ev.ID)
+		for _, a := range j.Live {
+			c.stop(now, a, 0)
+		}
+		for k := range j.Recorded {
+			c.saves = append(c.saves, Save{Kind: DropTasks, Job: ev.ID, Chunk: k})
+		}
+		for _, key := range j.Parts {
+			c.saves = append(c.saves, Save{Kind: DropAwaits, Job: ev.ID, Key: key})
+		}
+		c.dequeue(j)
+		c.dirty = true
+		if len(j.Link.Needs) > 0 {
+			c.pathsAt = now
+		}
 	}
-	c.log.Info("job ended", "id", id, "done", j.Count(model.TaskDone), "live", len(j.Live))
-	j.Set(model.JobEnded)
-	delete(c.jobs, id)
-	delete(c.dirtyJobs, id)
-	for _, a := range j.Live {
-		c.stop(now, a, 0)
+	if ev.End == model.EndUnknown {
+		c.graph.Forget(ev.ID)
+		return
 	}
-	for k := range j.Recorded {
-		c.saves = append(c.saves, Save{Kind: DropTasks, Job: id, Chunk: k})
+	freed, doomed := c.graph.End(ev.ID, ev.End, ev.At)
+	for _, l := range freed {
+		c.free(now, l)
 	}
-	for i, o := range c.order {
-		if o == j {
-			c.order = append(c.order[:i], c.order[i+1:]...)
-			break
+	for _, l := range doomed {
+		if j := c.jobs[l.ID]; j != nil {
+			c.checkEnd(now, j)
 		}
 	}
-	c.dirty = true
 }
 
 // taskDone notes that a task has completed.
@@ -354,19 +404,30 @@
 	}
 	j.SetTask(i, model.TaskDone)
 	j.Good, j.Errors = true, 0
-	j.Dirty[i/c.set.ChunkTasks] = true
+	j.Dirty[j.Spec.ChunkOf(i)] = true
 	if len(c.dirtyJobs) == 0 {
 		c.flushAt = now.Add(c.set.Flush)
 	}
 	c.dirtyJobs[j.Spec.ID] = true
-	c.checkEnd(j)
+	c.checkEnd(now, j)
 }
 
-// checkEnd ends a job whose tasks are all done. The record of the end stands
-// for the finished tasks' records too, so none of those is needed any more.
-func (c *Core) checkEnd(j *model.Job) {
-	if j.State == model.JobActive && j.Unfinished() == 0 && j.Set(model.JobEnding) {
-		c.saves = append(c.saves, Save{Kind: EndJob, Job: j.Spec.ID, Version: j.Version, Tasks: j.Spec.Tasks})
+// checkEnd ends a job whose tasks are all done, or that awaits a cancelled one. The
+// record of the end stands for the finished tasks' records too, so none of those is
+// needed any more.
+func (c *Core) checkEnd(now time.Time, j *model.Job) {
+	kind := EndJob
+	switch {
+	case j.State != model.JobActive:
+		return
+	case j.Link.State == model.LinkDoomed:
+		kind = EndDoomed
+		c.log.Info("job awaits a cancelled one", "id", j.Spec.ID, "cancelled", j.Link.By)
+	case j.Unfinished() > 0:
+		return
+	}
+	if j.Set(model.JobEnding) {
+		c.saves = append(c.saves, Save{Kind: kind, Job: j.Spec.ID, Version: j.Version, Tasks: j.Spec.Tasks, At: now})
 		delete(c.dirtyJobs, j.Spec.ID)
 	}
 }
@@ -380,8 +441,8 @@
 			continue
 		}
 		for k := range j.Dirty {
-			from := k * c.set.ChunkTasks / 8
-			to := min(from+c.set.ChunkTasks/8, len(j.Bits))
+			from := k.N / 8
+			to := min(from+model.ChunkTasks/8, len(j.Bits))
 			c.saves = append(c.saves, Save{Kind: SaveTasks, Job: id, Chunk: k, Bits: append([]byte(nil), j.Bits[from:to]...)})
 			delete(j.Dirty, k)
 			j.Recorded[k] = true
@@ -390,22 +451,30 @@
 	c.flushAt = now.Add(c.set.Flush)
 }
 
-// commit sends the next batch of records, one transaction at a time.
+// commit sends the next batch of records, one transaction at a time. Ends of jobs
+// that are done and new machines go first, since somebody waits for them; then saves
+// that go alone take turns with batches of the others.
 func (c *Core) commit(now time.Time) {
 	if c.saving || len(c.saves) == 0 || now.Before(c.saveAt) {
 		return
 	}
-	// The end of a job has a condition of its own, so it goes alone: its failure
-	// must not keep the others back. It and new machines go before the rest.
-	first := 0
-	for i, s := range c.saves {
+	first, other := -1, 0
+	for i := range c.saves {
+		s := &c.saves[i]
 		if s.Kind == EndJob || s.Kind == SaveMachine {
 			first = i
 			break
 		}
+		if c.lone && c.saves[other].alone() && !s.alone() {
+			other = i
+		}
+	}
+	if first < 0 {
+		first = other
 	}
 	var batch, rest []Save
-	if c.saves[first].Kind == EndJob {
+	c.lone = c.saves[first].alone()
+	if c.lone {
 		batch = append(batch, c.saves[first])
 		rest = append(append(rest, c.saves[:first]...), c.saves[first+1:]...)
 	} else {
@@ -415,7 +484,7 @@
 				if (s.Kind == SaveMachine) != (pass == 0) {
 					continue
 				}
-				if s.Kind != EndJob && room > 0 {
+				if !s.alone() && room > 0 {
 					batch = append(batch, s)
 					room--
 				} else {
@@ -431,12 +500,16 @@
 
 func (c *Core) saveBack(now time.Time, ev SaveBack) {
 	c.saving = false
-	if ev.Outcome == Unknown || ev.Outcome == NotSent {
+	switch ev.Outcome {
+	case Unknown, NotSent:
 		// Every save may be repeated: it writes whole values, under the condition
 		// that this leader's token is still the last one.
 		c.saves = append(ev.Saves, c.saves...)
 		c.saveAt = now.Add(300 * time.Millisecond)
 		return
+	case Rejected:
+		c.rejected(now, ev.Saves)
+		return
 	}
 	for _, s := range ev.Saves {
 		switch s.Kind {
@@ -447,18 +520,40 @@
 			}
 		case SaveTasks:
 			if j := c.jobs[s.Job]; j != nil && ev.Outcome == OK {
-				j.Durable(s.Chunk*c.set.ChunkTasks, s.Bits)
+				j.Durable(s.Chunk.N, s.Bits)
 			}
-		case EndJob:
+		case EndJob, EndDoomed:
 			// Done: the watch tells of it too. Refused: somebody else has ended the
 			// job, or an earlier copy of this very save has; the watch tells.
 			if ev.Outcome == OK {
-				c.endJob(now, s.Job)
+				end := model.EndDone
+				if s.Kind == EndDoomed {
+					end = model.EndCancelled
+				}
+				c.endJob(now, JobEnded{ID: s.Job, End: end, At: s.At})
 			}
 		}
 	}
 }
 
+// rejected takes saves that the state service will not carry out as they stand.
+// Guards against an endless loop round one record that is too large: of several each
+// is tried alone, and one that was alone is dropped, or tried again much later where
+// a job hangs on it.
+func (c *Core) rejected(now time.Time, saves []Save) {
+	if len(saves) > 1 {
+		for i := range saves {
+			saves[i].Solo = true
+		}
+		c.saves = append(c.saves, saves...)
+		return
+	}
+	if j := c.jobs[saves[0].Job]; j != nil && (saves[0].Kind == EndJob || saves[0].Kind == EndDoomed) {
+		j.Set(model.JobActive)
+		j.NotBefore = now.Add(c.set.BackoffMost)
+	}
+}
+
 // nextTry gives an attempt number that no leader gives again: the token is in
 // its upper half.
 func (c *Core) nextTry() uint64 {
@@ -487,10 +582,12 @@
 			used = used.Add(m.Used)
 		}
 	}
-	waiting, live := map[string]int{}, map[string]int{}
+	waiting, live, awaiting := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, j := range c.jobs {
-		if n := j.Waiting(); n > 0 {
+		if n := j.Waiting(); n > 0 && j.Link.State == model.LinkFree {
 			waiting[j.Spec.Class] += n
+		} else if n > 0 {
+			awaiting[j.Spec.Class]++
 		}
 		if n := len(j.Live); n > 0 {
 			live[j.Spec.Class] += n
@@ -503,7 +600,7 @@
 			teams[name] = fmt.Sprintf("%g of %g CPUs, %g of %g GPUs", used.CPU, t.Limit.CPU, used.GPU, t.Limit.GPU)
 		}
 	}
-	c.log.Info("status", "jobs", len(c.jobs), "waiting", waiting, "live", live, "ready", states[model.Ready], "booting", states[model.Booting],
+	c.log.Info("status", "jobs", len(c.jobs), "waiting", waiting, "awaiting", awaiting, "live", live, "ready", states[model.Ready], "booting", states[model.Booting],
 		"draining", states[model.Draining], "unsettled", c.unsure, "at_limit", teams, "kinds", kinds, "cpus", total.CPU, "cpus_used", used.CPU, "gpus", total.GPU, "gpus_used", used.GPU)
 }
 
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -18,10 +18,11 @@
 
 // The outcomes.
 const (
-	OK      Outcome = iota + 1
-	Refused         // carried out: no
-	NotSent         // certainly not carried out, now or later
-	Unknown         // may have been carried out, or may yet be
+	OK       Outcome = iota + 1
+	Refused          // carried out: no
+	NotSent          // certainly not carried out, now or later
+	Unknown          // may have been carried out, or may yet be
+	Rejected         // never to be carried out as it stands: too large, or malformed
 )
 
 // The events.
@@ -33,9 +34,18 @@
 		Spec    *model.Spec
 		At      time.Time
 		Version uint64
+		Parts   []string // keys that hold the rest of what it awaits
 	}
-	// JobEnded: the state service holds that the job is done or cancelled.
-	JobEnded struct{ ID string }
+	// JobEnded: the state service holds that the job is done or cancelled. With an
+	// unknown end, a view that has missed changes only tells that it is over.
+	JobEnded struct {
+		ID  string
+		End model.End
+		At  time.Time // zero: before any job was submitted that awaits another
+	}
+	// EndsIn: how jobs that others await have ended, of those where that could be
+	// found out.
+	EndsIn struct{ Ends []JobEnded }
 	// ReportIn: a worker's report has come; Answer is its effect.
 	ReportIn struct{ Report *model.Report }
 	// CommandBack: a direct command was answered, or not. Report is the
@@ -76,6 +86,7 @@
 func (Tick) controlEvent()        {}
 func (JobAdded) controlEvent()    {}
 func (JobEnded) controlEvent()    {}
+func (EndsIn) controlEvent()      {}
 func (ReportIn) controlEvent()    {}
 func (CommandBack) controlEvent() {}
 func (CatalogIn) controlEvent()   {}
@@ -95,18 +106,30 @@
 	DropTasks                       // a chunk of an ended job
 	EndJob                          // all tasks of the job are done
 	SaveNeed                        // a GPU request that was seen
+	SaveLayout                      // how many tasks a numbered chunk has
+	EndDoomed                       // the job awaits a cancelled one
+	DropAwaits                      // a part of the list of what an ended job awaited
 )
 
+// alone tells that a save has a condition of its own, so it goes alone: its failure
+// must not keep others back.
+func (s *Save) alone() bool {
+	return s.Solo || s.Kind == EndJob || s.Kind == EndDoomed || s.Kind == DropAwaits
+}
+
 // Save is one change of the leader's records.
 type Save struct {
 	Kind    SaveKind
 	Machine model.Listed    // SaveMachine, DropMachine (its name)
-	Job     string          // SaveTasks, DropTasks, EndJob
-	Version uint64          // EndJob: of the job's record
-	Tasks   int             // EndJob: how many it has
-	Chunk   int             // SaveTasks, DropTasks
+	Job     string          // SaveTasks, DropTasks, EndJob, EndDoomed, DropAwaits
+	Version uint64          // EndJob, EndDoomed: of the job's record
+	Tasks   int             // EndJob, EndDoomed: how many it has; SaveLayout
+	At      time.Time       // EndJob, EndDoomed
+	Chunk   model.Chunk     // SaveTasks, DropTasks
 	Bits    []byte          // SaveTasks
 	Need    model.Resources // SaveNeed
+	Key     string          // DropAwaits
+	Solo    bool            // goes alone: it was in a transaction that was rejected
 }
 
 // Effect is what a leader wants done.
@@ -131,6 +154,8 @@
 	List struct{}
 	// Catalog asks for the machine types.
 	Catalog struct{}
+	// LookUp asks how jobs that others await have ended.
+	LookUp struct{ IDs []string }
 	// Commit saves records in one transaction.
 	Commit struct{ Saves []Save }
 )
@@ -141,4 +166,5 @@
 func (Return) controlEffect()  {}
 func (List) controlEffect()    {}
 func (Catalog) controlEffect() {}
+func (LookUp) controlEffect()  {}
 func (Commit) controlEffect()  {}
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -562,6 +562,7 @@
 		if !j.NotBefore.IsZero() && now.After(j.NotBefore) {
 			j.NotBefore = time.Time{}
 			c.dirty = true
+			c.checkEnd(now, j)
 		}
 	}
 	if now.Sub(c.lastPass) > time.Second {
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -34,7 +34,7 @@
 	}
 	for _, v := range plan.Stop {
 		c.log.Info("preempting", "task", v.Attempt.Task, "machine", v.Attempt.Machine.Name, "rank", v.Rank.String(), "over", v.Over,
-			"loss", v.Loss, "at_once", v.AtOnce, "for", v.For.Job.Spec.ID, "rank_for", v.For.Job.Spec.Rank.String(), "guaranteed", v.For.Guaranteed, "slack", v.For.Slack)
+			"loss", v.Loss, "at_once", v.AtOnce, "for", v.For.Job.Spec.ID, "rank_for", v.For.Job.Rank.String(), "guaranteed", v.For.Guaranteed, "slack", v.For.Slack)
 		v.Attempt.Yields = true
 		if v.AtOnce && !v.Gang {
 			c.stop(now, v.Attempt, 0)
@@ -64,6 +64,9 @@
 // machine: see docs/safety.md, "What is on a machine".
 func (c *Core) launch(now time.Time, pl sched.Placement, try uint64) {
 	j, m := pl.Want.Job, pl.Node.Machine
+	if !mayStart(j) {
+		return
+	}
 	i, ok := j.Take(pl.Want.From)
 	if !ok || j.Live[i] != nil {
 		return
@@ -95,6 +98,7 @@
 func (c *Core) picture(now time.Time) *sched.Picture {
 	p := &sched.Picture{Used: make(map[string]model.Resources, len(c.use)), Leaving: make(map[string]model.Resources, len(c.use)),
 		Teams: c.teams, Zones: c.set.Zones, Nodes: make([]*sched.Node, 0, len(c.machines))}
+	c.paths(now)
 	guaranteed := c.guaranteed()
 	for _, j := range c.order {
 		c.wants(now, p, j, guaranteed[j])
@@ -184,7 +188,7 @@
 // victim describes an attempt that might be stopped to make room.
 func (c *Core) victim(now time.Time, a *model.Attempt, guaranteed bool) sched.Running {
 	s := a.Job.Spec
-	v := sched.Running{Attempt: a, Rank: s.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang}
+	v := sched.Running{Attempt: a, Rank: a.Job.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang}
 	if s.Checkpoint > 0 {
 		v.Save = grace(a)
 	}
@@ -210,8 +214,8 @@
 	for _, j := range c.order {
 		s := j.Spec
 		team := c.teams[s.Team]
-		if team == nil {
-			continue
+		if team == nil || !mayStart(j) {
+			continue // a job that waits for others holds no part of the guarantee
 		}
 		sum[s.Team] = sum[s.Team].Add(s.Need.Times(j.Unfinished()))
 		out[j] = model.Within(sum[s.Team], team.Guarantee)
@@ -221,12 +225,12 @@
 
 // wants adds what waits of a job.
 func (c *Core) wants(now time.Time, p *sched.Picture, j *model.Job, guaranteed bool) {
-	if j.State != model.JobActive || j.Waiting() == 0 {
+	if !mayStart(j) || j.Waiting() == 0 {
 		return
 	}
 	// A task of a job from before the takeover may sit on a machine that is not
 	// settled yet; a job that was accepted later cannot.
-	if c.unsure > 0 && j.Version <= c.rev || now.Before(j.NotBefore) {
+	if c.unsure > 0 && j.Version <= c.rev && !j.Fresh || now.Before(j.NotBefore) {
 		return
 	}
 	s := j.Spec
@@ -278,12 +282,12 @@
 
 // slack is the time that a job's tasks have left, which have run for some time
 // or wait: to the next of its dates that can still be met, less the estimated
-// run time that is left. Dates are the job's
-// deadline and what users expect of its class. due tells that it has any date;
+// run time that is left. Dates are the job's deadline, what users expect of its
+// class, and by when it must be done for the sake of the jobs behind it. due tells that it has any date;
 // the slack is negative once none can be met.
 func (c *Core) slack(now time.Time, j *model.Job, started bool, ran time.Duration) (slack time.Duration, due bool) {
 	s := j.Spec
-	age := now.Sub(j.At)
+	age := now.Sub(j.Since)
 	estimate := max(c.runs.estimate(s)-ran, 0)
 	slack = -1
 	date := func(left time.Duration) {
@@ -292,8 +296,11 @@
 			slack = left
 		}
 	}
-	if s.Deadline > 0 {
-		date(s.Deadline - age - estimate)
+	for _, d := range c.dates(j) {
+		date(d.Sub(now) - estimate)
+	}
+	for _, d := range j.Ahead {
+		date(d.Sub(now) - estimate)
 	}
 	for _, a := range c.set.Aims[s.Class] {
 		if a.Start > 0 && !started {
@@ -302,9 +309,6 @@
 		if a.Finish > 0 {
 			date(a.Finish - age - estimate)
 		}
-		if a.Times > 0 && s.Deadline > 0 {
-			date(time.Duration(a.Times*float64(s.Deadline)) - age - estimate)
-		}
 	}
 	return slack, due
 }
--- a/internal/control/session_test.go
+++ b/internal/control/session_test.go
@@ -18,7 +18,7 @@
 	now := time.Unix(1000, 0)
 	types := []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Boot: 5 * time.Second, Zones: []string{"a"}}}
 	set := Settings{Member: "tiller-0", Zones: []string{"a"}, Teams: []model.Team{{Name: "red", Limit: model.Resources{CPU: 100}}},
-		Report: 2 * time.Second, Lease: 12 * time.Second, LeaseMargin: 500 * time.Millisecond, SilentAfter: 7 * time.Second, TxnOps: 12, ChunkTasks: 64,
+		Report: 2 * time.Second, Lease: 12 * time.Second, LeaseMargin: 500 * time.Millisecond, SilentAfter: 7 * time.Second, TxnOps: 12,
 		Sched: sched.Settings{IdleShare: 0.7}, Fleet: fleet.Settings{KeepIdle: time.Hour, BootFactor: 100}}
 	c := New(now, set, 1, &Snapshot{}, types, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	step := func(after time.Duration, ev Event) []Effect {
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -41,7 +41,7 @@
 		{Name: "red", Guarantee: model.Resources{CPU: 16 * times}, Limit: model.Resources{CPU: 32 * times}},
 		{Name: "blue", Guarantee: model.Resources{CPU: 8 * times}, Limit: model.Resources{CPU: 16 * times}},
 	}
-	w := NewWorld(3, set, el, quiet)
+	w := NewWorld(3, set, el, config.Store(p), quiet)
 	w.Types = []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Price: 1, SpotPrice: 0.3, Boot: 5 * second, Zones: []string{"a", "b"}}}
 	for i := range machines {
 		w.machines++
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sort"
@@ -27,6 +28,10 @@
 	Bad         map[string]bool // jobs whose tasks fail everywhere
 	Cancelled   map[string]time.Time
 	Teams       map[string]model.Team
+	Awaits      map[string][]string // what jobs were submitted to wait for
+	Limits      store.Limits        // that the controllers keep within
+	Keep        int                 // ended jobs that a controller remembers
+	Rejected    []string            // records that the state service would not take
 
 	Fetch, Run, Lease, ReportEvery, GangWait, Boot, CancelIn time.Duration
 
@@ -83,12 +88,12 @@
 }
 
 // NewWorld makes a deployment with n controllers, which work by the settings.
-func NewWorld(n int, set control.Settings, el election.Settings, log *slog.Logger) *World {
+func NewWorld(n int, set control.Settings, el election.Settings, limits store.Limits, log *slog.Logger) *World {
 	w := &World{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), Workers: map[string]*Worker{}, Specs: map[string]*model.Spec{},
 		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, Teams: map[string]model.Team{},
 		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
 		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
-		seen: map[string]bool{}}
+		seen: map[string]bool{}, Awaits: map[string][]string{}, Limits: limits, Keep: 1000}
 	w.State = NewState(func() time.Time { return w.now })
 	for _, t := range set.Teams {
 		w.Teams[t.Name] = t
@@ -108,7 +113,7 @@
 	c.State = store.NewOver(c, c, time.Second)
 	c.State.SetRates(1e9, 1e9)
 	c.changes, c.later = nil, nil
-	c.Jobs = store.NewJobs(c.State, 1000, func(ch []store.JobChange) { c.changes = append(c.changes, ch...) }, c.log)
+	c.Jobs = store.NewJobs(c.State, c.w.Keep, c.w.Limits, func(ch []store.JobChange) { c.changes = append(c.changes, ch...) }, c.log)
 	c.Elect = election.New(c.esets, c.log)
 }
 
@@ -194,13 +199,21 @@
 // Submit has a job accepted by a controller.
 func (w *World) Submit(c *Controller, s *model.Spec) error {
 	w.Specs[s.ID] = s
-	_, _, err := c.Jobs.Accept(context.Background(), s, w.now)
+	ctx := context.Background()
+	awaits := s.Awaits
+	doomed, err := c.Jobs.Resolve(ctx, s)
+	if err == nil {
+		_, _, err = c.Jobs.Accept(ctx, s, doomed, w.now)
+	}
+	if err == nil {
+		w.Awaits[s.ID] = awaits
+	}
 	return err
 }
 
 // Cancel cancels a job through a controller.
 func (w *World) Cancel(c *Controller, id string) (store.JobView, error) {
-	v, err := c.Jobs.Cancel(context.Background(), id)
+	v, err := c.Jobs.Cancel(context.Background(), id, w.now)
 	if err == nil && v.State.Ended() && !w.allDone(id) {
 		w.Cancelled[id] = w.now
 	}
@@ -244,6 +257,11 @@
 				w.broken("ran_twice: %v on %s and %s", t.ID, other, n)
 			}
 			on[t.ID] = n
+			for _, need := range w.Awaits[t.ID.Job] {
+				if !w.allDone(need) {
+					w.broken("too_early: %v on %s before %s is done", t.ID, n, need)
+				}
+			}
 			used[t.Spec.Team] = used[t.Spec.Team].Add(t.Spec.Need)
 			if zones[t.ID.Job] == nil {
 				zones[t.ID.Job] = map[string]int{}
@@ -338,11 +356,7 @@
 	}
 	if c.Jobs.Loaded() && c.Jobs.CatchUp(context.Background()) == nil {
 		for _, ch := range c.changes {
-			if v := c.Jobs.Peek(ch.ID); v.Spec != nil {
-				c.act(control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
-			} else {
-				c.act(control.JobEnded{ID: ch.ID})
-			}
+			c.act(c.Jobs.Event(ch))
 		}
 		c.changes = nil
 	}
@@ -398,11 +412,7 @@
 		c.later = append(c.later, c.takeOver)
 		return
 	}
-	active, rev := c.Jobs.Active()
-	snap.Revision = rev
-	for _, v := range active {
-		snap.Jobs = append(snap.Jobs, control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
-	}
+	c.Jobs.Snapshot(snap)
 	c.Core = control.New(c.w.now, c.set, c.token, snap, c.w.Types, c.log)
 	c.changes = nil
 }
@@ -488,10 +498,15 @@
 		back(control.ListIn{Machines: list, Asked: w.now})
 	case control.Catalog:
 		back(control.CatalogIn{Types: w.Types})
+	case control.LookUp:
+		back(control.EndsIn{Ends: c.Jobs.Ends(context.Background(), e.IDs)})
 	case control.Commit:
 		ok, err := c.State.Save(context.Background(), c.ver, e.Saves)
 		ev := control.SaveBack{Saves: e.Saves, Outcome: control.OK}
 		switch {
+		case errors.Is(err, store.ErrRejected):
+			ev.Outcome = control.Rejected
+			w.Rejected = append(w.Rejected, store.Keys(e.Saves)...)
 		case err != nil:
 			ev.Outcome = control.NotSent
 		case !ok:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,8 +22,10 @@
 type Jobs interface {
 	Peek(id string) store.JobView
 	Lookup(ctx context.Context, id string) (store.JobView, error)
-	Accept(ctx context.Context, s *model.Spec, now time.Time) (bool, store.JobView, error)
-	Cancel(ctx context.Context, id string) (store.JobView, error)
+	Resolve(ctx context.Context, s *model.Spec) (doomed bool, err error)
+	Fits(s *model.Spec) error
+	Accept(ctx context.Context, s *model.Spec, doomed bool, now time.Time) (bool, store.JobView, error)
+	Cancel(ctx context.Context, id string, now time.Time) (store.JobView, error)
 }
 
 // Verdict is what became of a worker's report.
@@ -209,6 +211,7 @@
 	defer cancel()
 	spec, err := wire.DecodeJob(body)
 	why := ""
+	doomed := false
 	status := fasthttp.StatusUnprocessableEntity
 	if err != nil {
 		status, why = fasthttp.StatusBadRequest, err.Error()
@@ -216,6 +219,8 @@
 		status, why = fasthttp.StatusServiceUnavailable, "the machine types are not known yet"
 	} else if ok, w := model.CanEverRun(spec, s.back.Team(spec.Team), types); !ok {
 		why = w
+	} else if s.jobs.Peek(id).State == wire.StateUnknown {
+		doomed, status, why = s.resolve(ctx, spec)
 	}
 	if why != "" || s.jobs.Peek(id).State != wire.StateUnknown {
 		// Never to be accepted, or known already: the present state decides.
@@ -234,8 +239,12 @@
 		}
 		return
 	}
-	created, v, err := s.jobs.Accept(ctx, spec, s.now())
+	created, v, err := s.jobs.Accept(ctx, spec, doomed, s.now())
 	switch {
+	case errors.Is(err, store.ErrRejected):
+		// Guards against a submission that is retried into a wall.
+		s.log.Error("submission not taken by the state service", "id", id, "err", err)
+		s.reply(c, fasthttp.StatusUnprocessableEntity, wire.AppendError(nil, store.ErrTooLarge.Error()))
 	case err != nil:
 		s.log.Debug("submission not accepted", "id", id, "err", err)
 		s.unavailable(c, "the state service does not answer")
@@ -246,6 +255,22 @@
 	}
 }
 
+// resolve finds out how the jobs stand that a submission awaits, and whether the
+// submission can be kept at all. Where it can't be taken it says why.
+func (s *Server) resolve(ctx context.Context, spec *model.Spec) (doomed bool, status int, why string) {
+	doomed, err := s.jobs.Resolve(ctx, spec)
+	switch {
+	case errors.Is(err, store.ErrNeverAccepted), errors.Is(err, store.ErrAwaitsService):
+		return false, fasthttp.StatusUnprocessableEntity, err.Error()
+	case err != nil:
+		return false, fasthttp.StatusServiceUnavailable, "the state service does not answer"
+	}
+	if err := s.jobs.Fits(spec); err != nil {
+		return false, fasthttp.StatusUnprocessableEntity, err.Error()
+	}
+	return doomed, 0, ""
+}
+
 // known answers a repeated submission with the job's state.
 func (s *Server) known(c *fasthttp.RequestCtx, id string, v store.JobView) {
 	st, _, _ := s.state(id, v)
@@ -295,7 +320,8 @@
 }
 
 func (s *Server) withdraw(c *fasthttp.RequestCtx, id string) {
-	s.about(c, id, userWait, s.jobs.Cancel, func(v store.JobView) []byte { return wire.AppendShortStatus(nil, id, v.State) })
+	cancel := func(ctx context.Context, id string) (store.JobView, error) { return s.jobs.Cancel(ctx, id, s.now()) }
+	s.about(c, id, userWait, cancel, func(v store.JobView) []byte { return wire.AppendShortStatus(nil, id, v.State) })
 }
 
 // reportWait bounds how long a report may wait for its answer: its worker drops
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -37,7 +37,7 @@
 	return store.JobView{}, errDown
 }
 
-func (r *records) Accept(_ context.Context, s *model.Spec, _ time.Time) (bool, store.JobView, error) {
+func (r *records) Accept(_ context.Context, s *model.Spec, _ bool, _ time.Time) (bool, store.JobView, error) {
 	if r.down {
 		return false, store.JobView{}, errDown
 	}
@@ -49,7 +49,21 @@
 	return !ok, v, nil
 }
 
-func (r *records) Cancel(_ context.Context, id string) (store.JobView, error) {
+func (r *records) Resolve(_ context.Context, s *model.Spec) (bool, error) {
+	for _, id := range s.Awaits {
+		if r.down {
+			return false, errDown
+		}
+		if r.known[id].State == wire.StateUnknown {
+			return false, store.ErrNeverAccepted
+		}
+	}
+	return false, nil
+}
+
+func (r *records) Fits(*model.Spec) error { return nil }
+
+func (r *records) Cancel(_ context.Context, id string, _ time.Time) (store.JobView, error) {
 	if r.down {
 		return store.JobView{}, errDown
 	}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -33,8 +33,14 @@
 // Job is an accepted job.
 type Job struct {
 	Spec    *Spec
-	At      time.Time // when it was accepted
-	Version uint64    // of its record
+	At      time.Time   // when it was submitted
+	Since   time.Time   // when it was submitted, or when the last job that it needs was done: ages and dates but its deadline count from here
+	Parts   []string    // keys that hold the rest of what it awaits
+	Link    *Link       // its place among the jobs that it needs and that need it
+	Rank    Rank        // its own, or the highest of those that need it
+	Ahead   []time.Time // by when it must be done, so that the dates of the jobs behind it can be met, the earliest first
+	Fresh   bool        // no leader before can have started a task of it
+	Version uint64      // of its record
 	State   JobState
 
 	tasks   []TaskState
@@ -43,11 +49,11 @@
 
 	Live map[int]*Attempt // the attempt that holds, by task
 
-	Bits     []byte       // finished tasks, a bit each
-	Dirty    map[int]bool // chunks of Bits that are not durable yet
-	again    map[int]bool // tasks that were started more than once: their last run is not a whole one
-	Recorded map[int]bool // chunks that a record was ever written of
-	saved    []byte       // the part of Bits that is durable
+	Bits     []byte         // finished tasks, a bit each
+	Dirty    map[Chunk]bool // chunks of Bits that are not durable yet
+	again    map[int]bool   // tasks that were started more than once: their last run is not a whole one
+	Recorded map[Chunk]bool // chunks that a record was ever written of
+	saved    []byte         // the part of Bits that is durable
 
 	WaitSince time.Time // since when a task of it waits
 	Gang      GangState
@@ -58,6 +64,36 @@
 	NotBefore time.Time
 }
 
+// Chunk names a record of finished tasks. It begins at task N, or it is the chunk
+// with that number in the layout of the first version, whose size went by a limit of
+// the state service. Those are read at the size that they were written with; written
+// is only the first of them, for arrays that fit into it: it is the same in any
+// layout.
+type Chunk struct {
+	Span bool // it begins at task N
+	N    int
+}
+
+// ChunkTasks is how many tasks a record of finished tasks holds. It does not depend
+// on any limit, and the record stays below 600 bytes.
+const ChunkTasks = 2048
+
+// ChunkOf names the record that a task's end is written to.
+func (s *Spec) ChunkOf(task int) Chunk {
+	if s.Tasks <= ChunkTasks {
+		return Chunk{}
+	}
+	return Chunk{Span: true, N: task / ChunkTasks * ChunkTasks}
+}
+
+// First is the first task of a chunk; numbered is how many tasks a numbered one has.
+func (c Chunk) First(numbered int) int {
+	if c.Span {
+		return c.N
+	}
+	return c.N * numbered
+}
+
 // GangState is where the attempt of a gang stands.
 type GangState uint8
 
@@ -71,8 +107,8 @@
 
 // NewJob makes the leader's view of an accepted job.
 func NewJob(s *Spec, at time.Time, version uint64) *Job {
-	j := &Job{Spec: s, At: at, Version: version, WaitSince: at, tasks: make([]TaskState, s.Tasks),
-		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[int]bool{}, Recorded: map[int]bool{}, again: map[int]bool{}, ErrorOn: map[string]int{}}
+	j := &Job{Spec: s, At: at, Since: at, Rank: s.Rank, Version: version, WaitSince: at, tasks: make([]TaskState, s.Tasks),
+		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[Chunk]bool{}, Recorded: map[Chunk]bool{}, again: map[int]bool{}, ErrorOn: map[string]int{}}
 	j.counts[TaskNew] = s.Tasks
 	for i := s.Tasks - 1; i >= 0; i-- {
 		j.pending[TaskNew] = append(j.pending[TaskNew], i)
--- a/internal/model/spec.go
+++ b/internal/model/spec.go
@@ -119,6 +119,7 @@
 	Checkpoint      time.Duration // progress between checkpoints; 0: never saves
 	Save            time.Duration // time to save when stopped
 	Deadline        time.Duration // from submission; 0: none
+	Awaits          []string      // jobs that have to be done before any task starts
 }
 
 // AllowsType tells whether the job may use machines of the type.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 		n.teams[teams[i].Name] = &teams[i]
 	}
 	n.state = store.New(p.Outside.State, o.Front.StateTimeout.D())
-	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, n.jobsChanged, log)
+	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, config.Store(p), n.jobsChanged, log)
 	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout)
 	n.workers = worker.New(o.Workers.DirectWait.D())
 	n.elect = election.New(config.Election(p, o), log)
@@ -113,7 +113,8 @@
 			part = 0.5
 		}
 	}
-	n.state.SetRates(part*d.State.RPS, part*d.State.WriteRPS)
+	l := n.plat.StateLimits()
+	n.state.SetRates(part*l.RPS, part*l.WriteRPS)
 	c := 0.05
 	if leading {
 		c = 0.85
@@ -336,11 +337,7 @@
 				n.post(func(now time.Time) {
 					if n.term == term {
 						// Read in the loop: no change of a job can come in between.
-						active, rev := n.jobs.Active()
-						snap.Revision = rev
-						for _, v := range active {
-							snap.Jobs = append(snap.Jobs, control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
-						}
+						n.jobs.Snapshot(snap)
 						n.core = control.New(now, n.set, e.Token, snap, n.Types(), n.log)
 					}
 					started <- true
@@ -458,12 +455,17 @@
 			}
 			n.back(term, control.CatalogIn{Types: types})
 		})
+	case control.LookUp:
+		n.spawn(func() { n.back(term, control.EndsIn{Ends: n.jobs.Ends(n.ctx, e.IDs)}) })
 	case control.Commit:
 		saves := append([]control.Save(nil), e.Saves...)
 		n.spawn(func() {
 			ev := control.SaveBack{Saves: saves, Outcome: control.OK}
 			ok, err := n.state.Save(n.ctx, r.version, saves)
 			switch {
+			case errors.Is(err, store.ErrRejected):
+				ev.Outcome = control.Rejected
+				n.log.Error("the state service rejects records", "keys", store.Keys(saves), "err", err)
 			case errors.Is(err, store.ErrNotExecuted):
 				ev.Outcome = control.NotSent
 			case err != nil:
@@ -496,19 +498,14 @@
 	}
 }
 
-// applyChanges tells the core of changes of the job records. What counts is the
-// view as it is now: a job that has ended since must not come up again.
+// applyChanges tells the core of changes of the job records.
 func (n *Node) applyChanges(now time.Time) {
 	n.changeMu.Lock()
 	changes := n.changes
 	n.changes = nil
 	n.changeMu.Unlock()
 	for _, ch := range changes {
-		if v := n.jobs.Peek(ch.ID); v.Spec != nil {
-			n.step(now, control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version})
-		} else {
-			n.step(now, control.JobEnded{ID: ch.ID})
-		}
+		n.step(now, n.jobs.Event(ch))
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -129,7 +129,7 @@
 // first, then what its team's guarantee covers, then the rest.
 func (w *Want) tier() int {
 	switch {
-	case w.Job.Spec.Rank == model.Production:
+	case w.Job.Rank == model.Production:
 		return 0
 	case w.Guaranteed:
 		return 1
@@ -138,7 +138,7 @@
 }
 
 // Urgent tells that the want is not to wait for what may become free.
-func (w *Want) Urgent() bool { return w.Job.Spec.Rank == model.Production }
+func (w *Want) Urgent() bool { return w.Job.Rank == model.Production }
 
 // The lanes of the design's order inside a tier.
 const (
@@ -173,7 +173,7 @@
 }
 
 func (w *Want) standing(s *Settings) standing {
-	return standing{w.tier(), w.lane(s), w.Restart, w.Slack, w.Waited, w.Job.Spec.Rank}
+	return standing{w.tier(), w.lane(s), w.Restart, w.Slack, w.Waited, w.Job.Rank}
 }
 
 // standing is where the tasks of an attempt's job would wait if it were stopped
@@ -257,7 +257,7 @@
 	if v.Rank == model.Production {
 		return false // its users would miss it at once
 	}
-	if v.Rank >= w.Job.Spec.Rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
+	if v.Rank >= w.Job.Rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
 		return false
 	}
 	return w.at.compare(v.standing()) < 0
@@ -619,7 +619,7 @@
 			break // enough is on its way out
 		}
 		for i, v := range nd.Victims {
-			if v.Attempt.Team == spec.Team && v.Rank < spec.Rank && w.mayStop(&v) && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
+			if v.Attempt.Team == spec.Team && v.Rank < w.Job.Rank && w.mayStop(&v) && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
 				(v.Save > 0 || w.tier() == 0) {
 				may = append(may, at{nd, i})
 			}
--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -5,12 +5,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/wire"
 )
@@ -21,15 +24,38 @@
 	jobPrefix    = "job/"
 	activePrefix = "job/a/"
 	endedPrefix  = "job/e/"
+	partPrefix   = "job/w/" // parts of lists of awaited jobs, written before the job's record
 )
 
+// Limits are what the state service takes: the smaller of what it takes now and of
+// what it will take, since that comes without notice.
+type Limits struct {
+	Value int // bytes of a value
+	Ops   int // changes of a transaction; it takes four times as many conditions
+}
+
 // JobView is what is known of a job.
 type JobView struct {
 	State   wire.JobState // StateQueued for every unfinished job
 	Spec    *model.Spec   // of an unfinished job
-	At      time.Time
+	At      time.Time     // when an unfinished job was submitted, or when an ended one ended
 	Version uint64
 	Tasks   int
+	Parts   []string // keys that hold the rest of what it awaits
+}
+
+// Added tells the core of an unfinished job.
+func (v JobView) Added() control.JobAdded {
+	return control.JobAdded{Spec: v.Spec, At: v.At, Version: v.Version, Parts: v.Parts}
+}
+
+// Ended tells the core of a job that is over.
+func (v JobView) Ended(id string) control.JobEnded {
+	e := control.JobEnded{ID: id, End: v.State.End()}
+	if e.End != model.EndUnknown {
+		e.At = v.At
+	}
+	return e
 }
 
 // JobChange tells of a job that was accepted, or that has ended.
@@ -44,6 +70,7 @@
 type Jobs struct {
 	c      *Client
 	log    *slog.Logger
+	limits Limits
 	keep   int
 	notify func([]JobChange)
 
@@ -53,6 +80,8 @@
 	active map[string]JobView
 	ended  map[string]JobView
 	fifo   []string // ended jobs, oldest first
+	graph  *model.Graph
+	parts  map[string][]string // of lists of awaited jobs, by key
 
 	batch *syncBatch
 	busy  bool
@@ -66,8 +95,9 @@
 
 // NewJobs makes an empty view. notify is told of changes, in order, and must
 // not call back.
-func NewJobs(c *Client, keep int, notify func([]JobChange), log *slog.Logger) *Jobs {
-	return &Jobs{c: c, log: log, keep: keep, notify: notify, active: map[string]JobView{}, ended: map[string]JobView{}}
+func NewJobs(c *Client, keep int, limits Limits, notify func([]JobChange), log *slog.Logger) *Jobs {
+	return &Jobs{c: c, log: log, limits: limits, keep: keep, notify: notify, active: map[string]JobView{}, ended: map[string]JobView{},
+		graph: model.NewGraph(), parts: map[string][]string{}}
 }
 
 // Run follows the changes until the context ends.
@@ -122,8 +152,18 @@
 	if err != nil {
 		return err
 	}
+	// A job's parts are there before its record and go after it. So a record of the
+	// first list that lacks some here has ended since, and the changes will tell.
+	parts, _, err := j.c.List(ctx, partPrefix)
+	if err != nil {
+		return err
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.parts = map[string][]string{}
+	for _, e := range parts {
+		j.part(e)
+	}
 	var changes []JobChange
 	active := make(map[string]JobView, len(entries))
 	for _, e := range entries {
@@ -143,17 +183,66 @@
 		}
 	}
 	j.active, j.rev, j.loaded = active, rev, true
+	j.graph = model.NewGraph()
+	for id, v := range active {
+		j.enter(id, v)
+	}
 	j.notify(changes)
 	return nil
 }
 
+// enter takes an unfinished job into the graph.
+func (j *Jobs) enter(id string, v JobView) {
+	if _, over := j.ended[id]; over {
+		return
+	}
+	j.graph.Add(id, v.Spec.Awaits, v.At)
+	for _, n := range v.Spec.Awaits {
+		if e, ok := j.ended[n]; ok {
+			j.graph.End(n, e.State.End(), e.At)
+		}
+	}
+}
+
+// part keeps a part of a list of awaited jobs.
+func (j *Jobs) part(e wire.Entry) {
+	if e.Removed {
+		delete(j.parts, e.Key)
+		return
+	}
+	ids, err := wire.DecodeAwaits(e.Value)
+	if err != nil {
+		j.log.Error("unreadable job record", "key", e.Key, "err", err)
+		return
+	}
+	j.parts[e.Key] = ids
+}
+
+// partKey names a part of a list of awaited jobs.
+func partKey(id, sum string, n int) string {
+	return partPrefix + id + "/" + sum + "/" + strconv.Itoa(n)
+}
+
+// decode reads the record of an unfinished job. One whose parts are not all known is
+// not known either: it must not start before what it awaits is whole.
 func (j *Jobs) decode(e wire.Entry) (JobView, bool) {
-	s, at, err := wire.DecodeActive(e.Value)
+	s, at, p, err := wire.DecodeActive(e.Value)
+	v := JobView{State: wire.StateQueued, Spec: s, At: at, Version: e.Version}
+	for n := 0; err == nil && n < p.Count; n++ {
+		key := partKey(s.ID, p.Sum, n)
+		ids, ok := j.parts[key]
+		if !ok {
+			err = fmt.Errorf("%s is missing", key)
+		}
+		s.Awaits = append(s.Awaits, ids...)
+		v.Parts = append(v.Parts, key)
+	}
 	if err != nil {
 		j.log.Error("unreadable job record", "key", e.Key, "err", err)
 		return JobView{}, false
 	}
-	return JobView{State: wire.StateQueued, Spec: s, At: at, Version: e.Version, Tasks: s.Tasks}, true
+	v.Tasks = s.Tasks
+	return v, true
 }
 
 // apply takes a batch of changes. A batch that overlaps what is known already
@@ -177,16 +266,18 @@
 				delete(j.active, id)
 			} else if v, ok := j.decode(e); ok {
 				j.active[id] = v
+				j.enter(id, v)
 				changes = append(changes, JobChange{id, v})
 			}
+		case strings.HasPrefix(e.Key, partPrefix):
+			j.part(e)
 		case strings.HasPrefix(e.Key, endedPrefix) && !e.Removed:
 			id := e.Key[len(endedPrefix):]
-			state, n, err := wire.DecodeEnded(e.Value)
+			v, err := decodeEnded(e)
 			if err != nil {
 				j.log.Error("unreadable job record", "key", e.Key, "err", err)
 				continue
 			}
-			v := JobView{State: state, Tasks: n, Version: e.Version}
 			j.remember(id, v)
 			changes = append(changes, JobChange{id, v})
 		}
@@ -195,9 +286,17 @@
 	j.notify(changes)
 }
 
-// remember keeps the final state of a job, and lets the oldest one go.
+func decodeEnded(e wire.Entry) (JobView, error) {
+	state, n, at, err := wire.DecodeEnded(e.Value)
+	return JobView{State: state, Tasks: n, Version: e.Version, At: at}, err
+}
+
+// remember keeps the final state of a job, and lets the oldest one go. The jobs
+// behind it have learned of it by then, so letting it go forgets nothing that a
+// waiting job needs.
 func (j *Jobs) remember(id string, v JobView) {
 	delete(j.active, id)
+	j.graph.End(id, v.State.End(), v.At)
 	if _, ok := j.ended[id]; !ok {
 		j.fifo = append(j.fifo, id)
 	}
@@ -236,17 +335,57 @@
 	return j.active[id]
 }
 
-// Active tells all unfinished jobs, and the revision of that view.
-func (j *Jobs) Active() (map[string]JobView, uint64) {
+// Event tells the core of a change. What counts is the view as it is now: a job that
+// has ended since must not come up again. One that the view has let go of meanwhile
+// had ended.
+func (j *Jobs) Event(ch JobChange) control.Event {
+	v := j.Peek(ch.ID)
+	switch {
+	case v.Spec != nil:
+		return v.Added()
+	case v.State == wire.StateUnknown:
+		v = ch.JobView
+	}
+	return v.Ended(ch.ID)
+}
+
+// Snapshot adds to what a new leader reads all unfinished jobs, as of now.
+func (j *Jobs) Snapshot(snap *control.Snapshot) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	out := make(map[string]JobView, len(j.active))
+	snap.Revision = j.rev
 	for id, v := range j.active {
 		if _, over := j.ended[id]; !over {
-			out[id] = v
+			snap.Jobs = append(snap.Jobs, v.Added())
+		}
+	}
+	for key := range j.parts {
+		id, _, _ := strings.Cut(key[len(partPrefix):], "/")
+		if _, ok := j.active[id]; !ok {
+			snap.Strays = append(snap.Strays, control.Save{Kind: control.DropAwaits, Job: id, Key: key})
 		}
 	}
-	return out, j.rev
+}
+
+// Ends tells how jobs have ended, of those where that can be found out.
+func (j *Jobs) Ends(ctx context.Context, ids []string) []control.JobEnded {
+	var out []control.JobEnded
+	for _, id := range ids {
+		v := j.Peek(id)
+		if !v.State.Ended() {
+			var err error
+			if v, err = j.read(ctx, id); err != nil {
+				j.log.Debug("end of an awaited job", "id", id, "err", err)
+				break
+			}
+		}
+		if v.State.Ended() {
+			out = append(out, v.Ended(id))
+		} else {
+			j.log.Warn("the end of an awaited job is not on record", "id", id)
+		}
+	}
+	return out
 }
 
 // Sync brings the view up to the present: when it returns, the view holds every
@@ -309,18 +448,76 @@
 }
 
 // Lookup tells the present state of a job. A final state that is remembered is
-// answered at once; anything else is brought up to the present.
+// answered at once; anything else is brought up to the present. A job behind a
+// cancelled one is cancelled, whether its own end is written yet or not: all
+// controllers derive that from the one record of the cancellation
+// (docs/safety.md, "Pipelines").
 func (j *Jobs) Lookup(ctx context.Context, id string) (JobView, error) {
 	if v := j.Peek(id); v.State.Ended() {
 		return v, nil
 	}
-	if err := j.Sync(ctx); err != nil {
-		return JobView{}, err
+	for range 3 {
+		if err := j.Sync(ctx); err != nil {
+			return JobView{}, err
+		}
+		if v, ok, err := j.derive(ctx, id); ok || err != nil {
+			return v, err
+		}
+		// Not among the unfinished ones: it has ended, or nobody has submitted it,
+		// or it was accepted since.
+		v, err := j.read(ctx, id)
+		if err != nil || v.Spec == nil {
+			return v, err
+		}
 	}
-	if v := j.Peek(id); v.State != wire.StateUnknown {
-		return v, nil
+	return JobView{}, fmt.Errorf("job %s: the view does not hold it", id)
+}
+
+// derive tells the state of a job that the view holds. It looks up how the jobs
+// ended that it hangs on and of which the view knows only the name.
+func (j *Jobs) derive(ctx context.Context, id string) (JobView, bool, error) {
+	for settled := true; ; {
+		j.mu.Lock()
+		v, ended := j.ended[id]
+		if !ended {
+			v = j.active[id]
+		}
+		var open []string
+		if v.Spec != nil {
+			if l := j.graph.Link(id); l != nil && l.State == model.LinkDoomed {
+				v = JobView{State: wire.StateCancelled, Tasks: v.Tasks}
+			} else {
+				open = j.graph.NamedBefore(id)
+			}
+		}
+		j.mu.Unlock()
+		if len(open) == 0 || !settled {
+			return v, v.State != wire.StateUnknown, nil
+		}
+		for _, n := range open {
+			ok, err := j.ending(ctx, n)
+			if err != nil {
+				return JobView{}, false, err
+			}
+			settled = settled && ok
+		}
+	}
+}
+
+// ending reads how an awaited job ended that is not among the unfinished ones, and
+// tells whether it has.
+func (j *Jobs) ending(ctx context.Context, id string) (bool, error) {
+	j.mu.Lock()
+	e, known := j.ended[id]
+	if known {
+		j.graph.End(id, e.State.End(), e.At)
 	}
-	return j.read(ctx, id)
+	j.mu.Unlock()
+	if known {
+		return true, nil
+	}
+	v, err := j.read(ctx, id)
+	return v.State.Ended(), err
 }
 
 // read looks a job up with the state service. It reads the active record first:
@@ -331,7 +528,10 @@
 		return JobView{}, err
 	}
 	if ok {
-		if v, ok := j.decode(e); ok {
+		j.mu.Lock()
+		v, ok := j.decode(e)
+		j.mu.Unlock()
+		if ok {
 			return v, nil
 		}
 		return JobView{}, errors.New("unreadable job record")
@@ -339,22 +539,126 @@
 	if e, ok, err = j.c.Get(ctx, endedPrefix+id); err != nil || !ok {
 		return JobView{}, err
 	}
-	state, n, err := wire.DecodeEnded(e.Value)
+	v, err := decodeEnded(e)
 	if err != nil {
 		return JobView{}, err
 	}
-	v := JobView{State: state, Tasks: n, Version: e.Version}
 	j.mu.Lock()
 	j.remember(id, v)
 	j.mu.Unlock()
 	return v, nil
 }
 
-// Accept writes the record of a new job, unless the job is known. It tells
-// whether this call has accepted it, and the job's state.
-func (j *Jobs) Accept(ctx context.Context, s *model.Spec, now time.Time) (created bool, v JobView, err error) {
-	t := &wire.Txn{If: []wire.Cond{{Key: activePrefix + s.ID}, {Key: endedPrefix + s.ID}},
-		Then: []wire.Change{{Key: activePrefix + s.ID, Value: wire.AppendActive(nil, s, now)}}}
+// The errors of Resolve that are for good.
+var (
+	ErrNeverAccepted = errors.New("awaits a job that was never accepted")
+	ErrAwaitsService = errors.New("awaits a service, which is never done")
+	ErrTooLarge      = errors.New("too large to be kept")
+)
+
+// Resolve finds out how the jobs stand that a submission awaits. Those that are done
+// are dropped from its list, since that is for good. doomed tells that one is
+// cancelled. A job that the view holds was accepted, however it stands by now: the
+// end that it may have had since reaches the new job like any other. Only of one that
+// the view does not hold the present state is read.
+func (j *Jobs) Resolve(ctx context.Context, s *model.Spec) (doomed bool, err error) {
+	var open []string
+	for _, id := range s.Awaits {
+		if id == s.ID {
+			return false, ErrNeverAccepted
+		}
+		v := j.Peek(id)
+		if v.State == wire.StateUnknown {
+			v, err = j.Lookup(ctx, id)
+		}
+		switch {
+		case err != nil:
+			return false, err
+		case v.State == wire.StateUnknown:
+			return false, ErrNeverAccepted
+		case v.State == wire.StateCancelled:
+			doomed = true
+		case v.State == wire.StateDone:
+		case v.Spec.Shape == model.Service:
+			return false, ErrAwaitsService
+		default:
+			open = append(open, id)
+		}
+	}
+	s.Awaits = open
+	return doomed, nil
+}
+
+// record lays out the records of a new job: the changes that are written first, and
+// the last one, with which the job is accepted.
+func (j *Jobs) record(s *model.Spec, at time.Time) (parts []wire.Change, last wire.Change, err error) {
+	last = wire.Change{Key: activePrefix + s.ID, Value: wire.AppendActive(nil, s, at, s.Awaits, wire.Parts{})}
+	if wire.StoredSize(last.Value) <= j.limits.Value {
+		return nil, last, nil
+	}
+	sum := fnv.New64a()
+	for _, id := range s.Awaits {
+		_, _ = sum.Write([]byte(id)) // a hash takes everything
+	}
+	p := wire.Parts{Sum: strconv.FormatUint(sum.Sum64(), 16)}
+	for rest := s.Awaits; len(rest) > 0; {
+		n := 0
+		for size := partOverhead; n < len(rest) && size+len(rest[n])+idOverhead <= j.limits.Value; n++ {
+			size += len(rest[n]) + idOverhead
+		}
+		if n == 0 {
+			return nil, last, ErrTooLarge
+		}
+		parts = append(parts, wire.Change{Key: partKey(s.ID, p.Sum, p.Count), Value: wire.AppendAwaits(nil, rest[:n])})
+		p.Count++
+		rest = rest[n:]
+	}
+	last.Value = wire.AppendActive(nil, s, at, nil, p)
+	if wire.StoredSize(last.Value) > j.limits.Value || len(parts)+2 > condsPerOp*j.limits.Ops {
+		return nil, last, ErrTooLarge
+	}
+	return parts, last, nil
+}
+
+const (
+	partOverhead = 100 // of a part besides the ids
+	idOverhead   = 4   // of an id besides its letters
+	condsPerOp   = 4   // conditions that a transaction may have for each change
+)
+
+// Fits tells whether the records of a new job can be kept at all.
+func (j *Jobs) Fits(s *model.Spec) error {
+	_, _, err := j.record(s, time.UnixMilli(0).Add(1<<62))
+	return err
+}
+
+// Accept writes the record of a new job, unless the job is known. A doomed one, which
+// awaits a cancelled job, is accepted and over at once. It tells whether this call has
+// accepted the job, and the job's state.
+func (j *Jobs) Accept(ctx context.Context, s *model.Spec, doomed bool, now time.Time) (created bool, v JobView, err error) {
+	t := &wire.Txn{If: []wire.Cond{{Key: activePrefix + s.ID}, {Key: endedPrefix + s.ID}}}
+	if doomed {
+		t.Then = []wire.Change{{Key: endedPrefix + s.ID, Value: wire.AppendEnded(nil, wire.StateCancelled, s.Tasks, now)}}
+	} else {
+		parts, last, err := j.record(s, now)
+		if err != nil {
+			return false, v, err
+		}
+		for len(parts) > 0 {
+			n := min(len(parts), j.limits.Ops)
+			rev, ok, err := j.c.Commit(ctx, &wire.Txn{Then: parts[:n]}, false)
+			if err != nil || !ok {
+				return false, v, errors.Join(ErrNotExecuted, err)
+			}
+			// Should the leader clear them away meanwhile, since no job owns them
+			// yet, this job is not accepted.
+			for _, p := range parts[:n] {
+				t.If = append(t.If, wire.Cond{Key: p.Key, Version: rev})
+			}
+			parts = parts[n:]
+		}
+		t.Then = []wire.Change{last}
+	}
 	rev, ok, err := j.c.Commit(ctx, t, false)
 	if err == nil && ok {
 		return true, JobView{State: wire.StateQueued, Spec: s, At: now, Version: rev, Tasks: s.Tasks}, nil
@@ -362,8 +666,8 @@
 	if errors.Is(err, ErrNotExecuted) {
 		return false, JobView{}, err
 	}
-	// Known already, or the outcome is open: reading settles it.
-	v, rerr := j.read(ctx, s.ID)
+	// Known already, or the outcome is open: the present state settles it.
+	v, rerr := j.Lookup(ctx, s.ID)
 	if rerr != nil {
 		return false, v, rerr
 	}
@@ -375,7 +679,7 @@
 
 // Cancel ends a job as cancelled, unless it is done. It tells the state in
 // which the job has ended, or StateUnknown where nobody has submitted it.
-func (j *Jobs) Cancel(ctx context.Context, id string) (JobView, error) {
+func (j *Jobs) Cancel(ctx context.Context, id string, now time.Time) (JobView, error) {
 	for range 4 {
 		if v := j.Peek(id); v.State.Ended() {
 			return v, nil
@@ -385,13 +689,13 @@
 			return v, err
 		}
 		t := &wire.Txn{If: []wire.Cond{{Key: activePrefix + id, Version: v.Version}, {Key: endedPrefix + id}},
-			Then: []wire.Change{{Key: activePrefix + id}, {Key: endedPrefix + id, Value: wire.AppendEnded(nil, wire.StateCancelled, v.Tasks)}}}
+			Then: []wire.Change{{Key: activePrefix + id}, {Key: endedPrefix + id, Value: wire.AppendEnded(nil, wire.StateCancelled, v.Tasks, now)}}}
 		rev, ok, err := j.c.Commit(ctx, t, false)
 		if err != nil && errors.Is(err, ErrNotExecuted) {
 			return JobView{}, err
 		}
 		if err == nil && ok {
-			v := JobView{State: wire.StateCancelled, Tasks: v.Tasks, Version: rev}
+			v := JobView{State: wire.StateCancelled, Tasks: v.Tasks, Version: rev, At: now}
 			j.mu.Lock()
 			j.remember(id, v)
 			j.mu.Unlock()
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -9,6 +9,7 @@
 
 	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
@@ -17,7 +18,10 @@
 	leaderPrefix  = "leader/"
 	holderKey     = "leader/holder" // attached to the leader's lease
 	tokenKey      = "leader/token"  // lasts; every transaction of a leader depends on its version
-	tasksPrefix   = "tasks/"
+	tasksPrefix   = "tasks/"        // finished tasks by the number of a chunk: the layout of the first version
+	spanPrefix    = "part/"         // finished tasks from a task on
+	layoutPrefix  = "layout/"
+	layoutKey     = "layout/numbered" // how many tasks a numbered chunk has
 	machinePrefix = "machine/"
 	needPrefix    = "need/"
 )
@@ -85,23 +89,36 @@
 
 // Records reads what a new leader needs besides the jobs.
 func (c *Client) Records(ctx context.Context) (*control.Snapshot, error) {
-	snap := &control.Snapshot{Done: map[string]map[int][]byte{}}
+	snap := &control.Snapshot{Done: map[string]map[model.Chunk][]byte{}}
 	done := snap.Done
-	entries, _, err := c.List(ctx, tasksPrefix)
+	for _, prefix := range []string{tasksPrefix, spanPrefix} {
+		entries, _, err := c.List(ctx, prefix)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range entries {
+			id, n, _ := strings.Cut(e.Key[len(prefix):], "/")
+			chunk, err := strconv.Atoi(n)
+			bits, derr := wire.DecodeTasksDone(e.Value)
+			if err != nil || derr != nil || chunk < 0 || chunk > 1<<20 {
+				return nil, fmt.Errorf("unreadable record %s", e.Key)
+			}
+			if done[id] == nil {
+				done[id] = map[model.Chunk][]byte{}
+			}
+			done[id][model.Chunk{Span: prefix == spanPrefix, N: chunk}] = bits
+		}
+	}
+	entries, _, err := c.List(ctx, layoutPrefix)
 	if err != nil {
 		return nil, err
 	}
 	for _, e := range entries {
-		id, n, _ := strings.Cut(e.Key[len(tasksPrefix):], "/")
-		chunk, err := strconv.Atoi(n)
-		bits, derr := wire.DecodeTasksDone(e.Value)
-		if err != nil || derr != nil || chunk < 0 || chunk > 1<<20 {
-			return nil, fmt.Errorf("unreadable record %s", e.Key)
-		}
-		if done[id] == nil {
-			done[id] = map[int][]byte{}
+		if e.Key == layoutKey {
+			if snap.Numbered, err = wire.DecodeLayout(e.Value); err != nil {
+				return nil, fmt.Errorf("unreadable record %s: %w", e.Key, err)
+			}
 		}
-		done[id][chunk] = bits
 	}
 	if entries, _, err = c.List(ctx, machinePrefix); err != nil {
 		return nil, err
@@ -132,29 +149,69 @@
 func (c *Client) Save(ctx context.Context, tokenVersion uint64, saves []control.Save) (ok bool, err error) {
 	t := &wire.Txn{If: []wire.Cond{{Key: tokenKey, Version: tokenVersion}}}
 	for _, s := range saves {
+		key := saveKey(s)
 		switch s.Kind {
 		case control.SaveMachine:
-			t.Then = append(t.Then, wire.Change{Key: machinePrefix + s.Machine.Machine, Value: wire.AppendMachine(nil, s.Machine)})
+			t.Then = append(t.Then, wire.Change{Key: key, Value: wire.AppendMachine(nil, s.Machine)})
 		case control.DropMachine:
-			t.Then = append(t.Then, wire.Change{Key: machinePrefix + s.Machine.Machine})
+			t.Then = append(t.Then, wire.Change{Key: key})
 		case control.SaveTasks:
-			t.Then = append(t.Then, wire.Change{Key: tasksKey(s), Value: wire.AppendTasksDone(nil, s.Bits)})
+			t.Then = append(t.Then, wire.Change{Key: key, Value: wire.AppendTasksDone(nil, s.Bits)})
 		case control.DropTasks:
-			t.Then = append(t.Then, wire.Change{Key: tasksKey(s)})
+			t.Then = append(t.Then, wire.Change{Key: key})
+		case control.SaveLayout:
+			t.Then = append(t.Then, wire.Change{Key: key, Value: wire.AppendLayout(nil, s.Tasks)})
 		case control.SaveNeed:
-			key := fmt.Sprintf("%s%g-%g-%g", needPrefix, s.Need.CPU, s.Need.GPU, s.Need.MemGB)
 			t.Then = append(t.Then, wire.Change{Key: key, Value: wire.AppendNeed(nil, s.Need)})
-		case control.EndJob:
-			t.If = append(t.If, wire.Cond{Key: activePrefix + s.Job, Version: s.Version}, wire.Cond{Key: endedPrefix + s.Job})
+		case control.EndJob, control.EndDoomed:
+			end := wire.StateDone
+			if s.Kind == control.EndDoomed {
+				end = wire.StateCancelled
+			}
+			t.If = append(t.If, wire.Cond{Key: activePrefix + s.Job, Version: s.Version}, wire.Cond{Key: key})
 			t.Then = append(t.Then, wire.Change{Key: activePrefix + s.Job},
-				wire.Change{Key: endedPrefix + s.Job, Value: wire.AppendEnded(nil, wire.StateDone, s.Tasks)})
+				wire.Change{Key: key, Value: wire.AppendEnded(nil, end, s.Tasks, s.At)})
+		case control.DropAwaits:
+			// Never of an unfinished job: it may have been accepted since.
+			t.If = append(t.If, wire.Cond{Key: activePrefix + s.Job})
+			t.Then = append(t.Then, wire.Change{Key: key})
 		}
 	}
 	_, ok, err = c.Commit(ctx, t, false)
 	return ok, err
 }
 
-func tasksKey(s control.Save) string { return tasksPrefix + s.Job + "/" + strconv.Itoa(s.Chunk) }
+// saveKey names the record that a save is about.
+func saveKey(s control.Save) string {
+	switch s.Kind {
+	case control.SaveMachine, control.DropMachine:
+		return machinePrefix + s.Machine.Machine
+	case control.SaveTasks, control.DropTasks:
+		prefix := tasksPrefix
+		if s.Chunk.Span {
+			prefix = spanPrefix
+		}
+		return prefix + s.Job + "/" + strconv.Itoa(s.Chunk.N)
+	case control.SaveLayout:
+		return layoutKey
+	case control.SaveNeed:
+		return fmt.Sprintf("%s%g-%g-%g", needPrefix, s.Need.CPU, s.Need.GPU, s.Need.MemGB)
+	case control.EndJob, control.EndDoomed:
+		return endedPrefix + s.Job
+	case control.DropAwaits:
+		return s.Key
+	}
+	return ""
+}
+
+// Keys names the records that saves are about, for the log.
+func Keys(saves []control.Save) []string {
+	var out []string
+	for _, s := range saves {
+		out = append(out, saveKey(s))
+	}
+	return out
+}
 
 // StillLast tells whether a token's record is unchanged.
 func (c *Client) StillLast(ctx context.Context, tokenVersion uint64) (bool, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,7 @@
 // outcome is unknown.
 var (
 	ErrNotExecuted = errors.New("not executed")
+	ErrRejected    = errors.New("rejected for good") // comes with ErrNotExecuted: too large, or malformed
 	ErrTooOld      = errors.New("the changes since that revision are not kept any more")
 	ErrLeaseOver   = errors.New("the lease is over")
 	ErrBusy        = errors.New("the budget for requests is spent")
@@ -179,6 +180,8 @@
 		return rev, err == nil, err
 	case rpc.Status(err) == fasthttp.StatusConflict:
 		return 0, false, nil
+	case rpc.Status(err) == fasthttp.StatusBadRequest:
+		return 0, false, fmt.Errorf("%w: %w: %w", ErrNotExecuted, ErrRejected, err)
 	case rpc.Status(err) != 0, errors.Is(err, rpc.ErrNotSent):
 		return 0, false, fmt.Errorf("%w: %w", ErrNotExecuted, err)
 	}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -208,6 +208,14 @@
 	return msgp.AppendString(msgp.AppendString(b, key), v)
 }
 
+func appendStrs(b []byte, key string, list []string) []byte {
+	b = msgp.AppendArrayHeader(msgp.AppendString(b, key), uint32(len(list)))
+	for _, s := range list {
+		b = msgp.AppendString(b, s)
+	}
+	return b
+}
+
 func appendUint(b []byte, key string, v uint64) []byte {
 	return msgp.AppendUint64(msgp.AppendString(b, key), v)
 }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -185,10 +186,30 @@
 		return duration(&s.Save)
 	case "dueS":
 		return duration(&s.Deadline)
+	case "awaits":
+		return readAwaits(b, &s.Awaits)
 	}
 	return b, false, nil
 }
 
+// readAwaits reads a list of job ids. A name that is repeated counts once.
+func readAwaits(b []byte, to *[]string) ([]byte, bool, error) {
+	var ids []string
+	rest, _, err := readStrs(b, &ids)
+	if err != nil {
+		return rest, true, err
+	}
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	for _, id := range ids {
+		if !JobIDValid(id) {
+			return rest, true, errors.New("not the id of a job")
+		}
+	}
+	*to = ids
+	return rest, true, nil
+}
+
 // appendJob writes a job in the form that users submit it in.
 func appendJob(b []byte, s *model.Spec) []byte {
 	n := uint32(len(required))
@@ -220,11 +241,7 @@
 	b = appendNum(b, "markS", s.Checkpoint.Seconds())
 	b = appendNum(b, "storeS", s.Save.Seconds())
 	if len(s.Types) > 0 {
-		b = msgp.AppendString(b, "breeds")
-		b = msgp.AppendArrayHeader(b, uint32(len(s.Types)))
-		for _, t := range s.Types {
-			b = msgp.AppendString(b, t)
-		}
+		b = appendStrs(b, "breeds", s.Types)
 	}
 	if s.Zone != "" {
 		b = appendStr(b, "field", s.Zone)
@@ -254,6 +271,17 @@
 // Ended tells whether the state is final.
 func (s JobState) Ended() bool { return s == StateDone || s == StateCancelled }
 
+// End is the end that a state stands for.
+func (s JobState) End() model.End {
+	switch s {
+	case StateDone:
+		return model.EndDone
+	case StateCancelled:
+		return model.EndCancelled
+	}
+	return model.EndUnknown
+}
+
 // AppendStatus writes the answer to a poll.
 func AppendStatus(b []byte, id string, s JobState, done, running int) []byte {
 	b = msgp.AppendMapHeader(b, 4)
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -12,58 +13,164 @@
 
 // The records that the controllers themselves keep with the state service.
 
-// AppendActive writes the record of an accepted, unfinished job.
-func AppendActive(b []byte, s *model.Spec, at time.Time) []byte {
-	b = msgp.AppendMapHeader(b, 2)
+// Parts tells where the rest of a list stands that is too long for the record of
+// its job: in that many records of their own, named by the sum of what they hold.
+type Parts struct {
+	Count int
+	Sum   string
+}
+
+// AppendActive writes the record of an accepted, unfinished job. Of what the job
+// awaits it holds the ids given here; the rest is in its parts.
+func AppendActive(b []byte, s *model.Spec, at time.Time, awaits []string, p Parts) []byte {
+	n := uint32(2)
+	if len(awaits) > 0 {
+		n++
+	}
+	if p.Count > 0 {
+		n += 2
+	}
+	b = msgp.AppendMapHeader(b, n)
 	b = appendUint(b, "at", uint64(at.UnixMilli()))
-	return appendJob(msgp.AppendString(b, "job"), s)
+	b = appendJob(msgp.AppendString(b, "job"), s)
+	if len(awaits) > 0 {
+		b = appendStrs(b, "awaits", awaits)
+	}
+	if p.Count > 0 {
+		b = appendStr(appendUint(b, "parts", uint64(p.Count)), "sum", p.Sum)
+	}
+	return b
+}
+
+// AppendAwaits writes one part of a list of jobs that a job awaits.
+func AppendAwaits(b []byte, ids []string) []byte {
+	return appendStrs(msgp.AppendMapHeader(b, 1), "awaits", ids)
+}
+
+// DecodeAwaits reads one part of a list of jobs that a job awaits.
+func DecodeAwaits(b []byte) (ids []string, err error) {
+	err = whole(b, func(key string, b []byte) ([]byte, bool, error) {
+		if key == "awaits" {
+			return readStrs(b, &ids)
+		}
+		return b, false, nil
+	})
+	return ids, err
+}
+
+// StoredSize bounds the size at which the state service counts a value: that of its
+// JSON form, however amounts and letters beyond ASCII are written there.
+func StoredSize(value []byte) int {
+	var c counter
+	if _, err := msgp.UnmarshalAsJSON(&c, value); err != nil {
+		return math.MaxInt
+	}
+	return int(c) + sizeMargin
 }
 
-// DecodeActive reads the record of an accepted, unfinished job.
-func DecodeActive(b []byte) (*model.Spec, time.Time, error) {
+// sizeMargin covers amounts that are written longer there than here.
+const sizeMargin = 64
+
+// counter counts what is written to it.
+type counter int
+
+func (c *counter) Write(p []byte) (int, error) {
+	for _, b := range p {
+		if *c++; b >= 0x80 {
+			*c += 2 // it may be escaped
+		}
+	}
+	return len(p), nil
+}
+
+// DecodeActive reads the record of an accepted, unfinished job. What it awaits is
+// whole only together with its parts.
+func DecodeActive(b []byte) (*model.Spec, time.Time, Parts, error) {
 	var body []byte
-	var at uint64
+	var at, count uint64
+	var awaits []string
+	var p Parts
 	err := whole(b, func(key string, b []byte) ([]byte, bool, error) {
 		switch key {
 		case "at":
 			return readUint(b, &at)
 		case "job":
 			return raw(b, &body)
+		case "awaits":
+			return readStrs(b, &awaits)
+		case "parts":
+			return readUint(b, &count)
+		case "sum":
+			return readStr(b, &p.Sum)
 		}
 		return b, false, nil
 	})
+	if err == nil && count > maxParts {
+		err = errors.New("too many parts")
+	}
 	if err != nil {
-		return nil, time.Time{}, err
+		return nil, time.Time{}, p, err
 	}
+	p.Count = int(count)
 	s, err := DecodeJob(body)
-	return s, time.UnixMilli(int64(at)), err
+	if err == nil {
+		s.Awaits = awaits
+	}
+	return s, time.UnixMilli(int64(at)), p, err
 }
 
+// maxParts is more parts than any submission needs.
+const maxParts = 1 << 10
+
 // AppendEnded writes the small record that is kept of an ended job for good.
-func AppendEnded(b []byte, s JobState, tasks int) []byte {
-	b = appendStr(msgp.AppendMapHeader(b, 2), "end", s.wire())
-	return appendUint(b, "n", uint64(tasks))
+func AppendEnded(b []byte, s JobState, tasks int, at time.Time) []byte {
+	b = appendStr(msgp.AppendMapHeader(b, 3), "end", s.wire())
+	return appendUint(appendUint(b, "n", uint64(tasks)), "at", uint64(at.UnixMilli()))
 }
 
-// DecodeEnded reads the record of an ended job.
-func DecodeEnded(b []byte) (s JobState, tasks int, err error) {
+// DecodeEnded reads the record of an ended job. Records of the version without
+// pipelines do not say when it ended: then the time is zero, and lies before the
+// submission of any job that awaits another.
+func DecodeEnded(b []byte) (s JobState, tasks int, at time.Time, err error) {
 	var end string
-	var n uint64
+	var n, ms uint64
 	err = whole(b, func(key string, b []byte) ([]byte, bool, error) {
 		switch key {
 		case "end":
 			return readStr(b, &end)
 		case "n":
 			return readUint(b, &n)
+		case "at":
+			return readUint(b, &ms)
 		}
 		return b, false, nil
 	})
+	if ms > 0 {
+		at = time.UnixMilli(int64(ms))
+	}
 	for _, s = range [...]JobState{StateDone, StateCancelled} {
 		if err == nil && end == s.wire() {
-			return s, int(n), nil
+			return s, int(n), at, nil
 		}
 	}
-	return 0, 0, errors.Join(err, errors.New("not the record of an ended job"))
+	return 0, 0, at, errors.Join(err, errors.New("not the record of an ended job"))
+}
+
+// AppendLayout writes how many tasks a numbered chunk of the finished-task record has.
+func AppendLayout(b []byte, tasks int) []byte {
+	return appendUint(msgp.AppendMapHeader(b, 1), "tasks", uint64(tasks))
+}
+
+// maxLayout bounds what a numbered chunk can have held under any limit.
+const maxLayout = 1 << 24
+
+// DecodeLayout reads how many tasks a numbered chunk of the finished-task record has.
+func DecodeLayout(b []byte) (int, error) {
+	n, err := DecodeNumber(b, "tasks")
+	if err == nil && n > maxLayout {
+		err = errors.New("out of range")
+	}
+	return int(n), err
 }
 
 // AppendTasksDone writes one chunk of the finished-task record, a bit a task.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -37,7 +37,7 @@
 		t.Errorf("read as %+v", s)
 	}
 	at := time.UnixMilli(1_700_000_000_123)
-	again, when, err := DecodeActive(AppendActive(nil, s, at))
+	again, when, _, err := DecodeActive(AppendActive(nil, s, at, nil, Parts{}))
 	if err != nil || !when.Equal(at) || again.ID != s.ID || again.Estimate != s.Estimate || again.Types[0] != "g8" || again.Need != s.Need {
 		t.Errorf("the job's record reads as %+v, %v, %v", again, when, err)
 	}
