--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -4,6 +4,7 @@
 package fake
 
 import (
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/url"
@@ -28,6 +29,10 @@
 	leases map[uint64]*stateLease
 	next   uint64
 	Txns   int // transactions that were carried out
+
+	MostValue int // bytes of a value, in JSON; 0: any
+	MostOps   int // changes of a transaction; 0: any
+	Largest   int // the largest value that was ever taken
 }
 
 type stateKey struct {
@@ -48,6 +53,52 @@
 	return &State{now: now, rev: 1, keys: map[string]*stateKey{}, leases: map[uint64]*stateLease{}}
 }
 
+// Plant sets a key to a value that stands there from before.
+func (s *State) Plant(key string, value []byte) {
+	v, _, err := msgp.ReadIntfBytes(value)
+	if err != nil {
+		panic(err)
+	}
+	s.rev++
+	s.keys[key] = &stateKey{key: key, value: v, version: s.rev}
+	s.log = append(s.log, *s.keys[key])
+}
+
+// Value is what a key holds; nil: it does not exist.
+func (s *State) Value(key string) any {
+	if e := s.keys[key]; e != nil {
+		return e.value
+	}
+	return nil
+}
+
+// Keys lists the keys with a prefix.
+func (s *State) Keys(prefix string) []string {
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// takes tells whether a transaction keeps within the limits.
+func (s *State) takes(conds, ops []any) bool {
+	if s.MostOps > 0 && (len(ops) > s.MostOps || len(conds) > 4*s.MostOps) {
+		return false
+	}
+	for _, o := range ops {
+		b, err := json.Marshal(o.(map[string]any)["value"])
+		if err != nil || s.MostValue > 0 && len(b) > s.MostValue {
+			return false
+		}
+		s.Largest = max(s.Largest, len(b))
+	}
+	return true
+}
+
 // SetDown starts or ends an outage. After one, every lease has its full time.
 func (s *State) SetDown(down bool) {
 	s.expire()
@@ -178,12 +229,11 @@
 		most = 1000
 	}
 	var names []string
-	for k := range s.keys {
-		if strings.HasPrefix(k, prefix) && k > after {
+	for _, k := range s.Keys(prefix) {
+		if k > after {
 			names = append(names, k)
 		}
 	}
-	sort.Strings(names)
 	more := len(names) > most
 	entries := []any{}
 	for _, k := range names[:min(most, len(names))] {
@@ -211,6 +261,9 @@
 func (s *State) commit(in map[string]any) ([]byte, error) {
 	conds, _ := in["if"].([]any)
 	ops, _ := in["apply"].([]any)
+	if !s.takes(conds, ops) {
+		return status(http.StatusBadRequest, map[string]any{"error": "too large"})
+	}
 	failed := []any{}
 	for _, c := range conds {
 		m := c.(map[string]any)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -352,6 +352,9 @@
 		}
 	}
 	if c.Core == nil {
+		if !c.Jobs.Loaded() {
+			_ = c.Jobs.Refresh(context.Background()) // tried again with the next step
+		}
 		return
 	}
 	if c.Jobs.Loaded() && c.Jobs.CatchUp(context.Background()) == nil {
