--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -39,6 +39,8 @@
 		`front = "127.0.0.1:18080" -> front = "host:1"`: "front: ",
 		"nodes = 2 -> nodes = 5":                        "deployment.nodes",
 		"rps = 200.0 -> rps = 0.0":                      "deployment.state.rps",
+		"txn_ops = 12 -> txn_ops = 1":                   "deployment.state.txn_ops",
+		"value_kb = 8.0 -> value_kb = 0.5":              "deployment.state.value_kb",
 		"cpus = 64.0 -> cpus = nan":                     "not a number of 0 or more",
 		`zones = ["north", "south"] -> zones = []`:      "deployment.zones",
 	} {
@@ -53,6 +55,22 @@
 	}
 }
 
+// The smaller of the present limits and of those to come holds from the start; one
+// that is not named stays. The layout of old records goes by the present one.
+func TestLimitsToComeHoldFromTheStart(t *testing.T) {
+	next := "[deployment.state.next]\nvalue_kb = 2.0\nwrite_rps = 56.0\nrps = 900.0\n\n[deployment.cloud]"
+	p, err := ReadPlatform(write(t, "next.toml", strings.Replace(example(t, "example.toml"), "[deployment.cloud]", next, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := p.StateLimits(), (StateLimits{RPS: 200, WriteRPS: 56, ValueKB: 2, TxnOps: 12}); got != want {
+		t.Errorf("limits %+v, want %+v", got, want)
+	}
+	if set := Control(p, Defaults()); set.Numbered != 16384 || set.TxnOps != 12 || Store(p).Value != 2048 {
+		t.Errorf("old chunks of %d tasks, %d changes, values of %d bytes", set.Numbered, set.TxnOps, Store(p).Value)
+	}
+}
+
 // The sample that operators start from explains every setting and holds the
 // defaults: reading it changes nothing.
 func TestSampleOperatorSettingsAreTheDefaults(t *testing.T) {
--- a/internal/control/pipelines.go
+++ b/internal/control/pipelines.go
@@ -157,11 +157,3 @@
 	}
 	return out
 }
-
-// Since tells from when the age of an unfinished job counts, for display.
-func (c *Core) Since(id string) time.Time {
-	if j := c.jobs[id]; j != nil {
-		return j.Since
-	}
-	return time.Time{}
-}
--- /dev/null
+++ b/internal/control/pipelines_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// stage makes an array of a pipeline.
+func stage(id string, estimate time.Duration, rank model.Rank, awaits ...string) *model.Spec {
+	return &model.Spec{ID: id, Class: "middle", Team: "red", Shape: model.Array, Rank: rank, Tasks: 2, Awaits: awaits,
+		Need: model.Resources{CPU: 4, MemGB: 8}, Estimate: estimate}
+}
+
+func TestSlackAndRankComeFromTheEndOfThePipeline(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := lead(now, &Snapshot{})
+	last := stage("wk-000004", 8*time.Second, model.High, "wk-000002", "wk-000003")
+	last.Class, last.Deadline = "last", 100*time.Second
+	for i, s := range []*model.Spec{stage("wk-000001", 10*time.Second, model.Low), stage("wk-000002", 5*time.Second, model.Low, "wk-000001"),
+		stage("wk-000003", 20*time.Second, model.Normal, "wk-000001"), last} {
+		c.Step(now, JobAdded{Version: uint64(i + 1), At: now, Spec: s})
+	}
+	slack := func(id string) (time.Duration, bool) { return c.slack(now, c.jobs[id], false, 0) }
+	c.paths(now)
+	// 100 s, less its own 10, the 20 of the longer way and the 8 of the last stage.
+	if d, due := slack("wk-000001"); !due || d != 62*time.Second {
+		t.Errorf("slack of the first stage: %v", d)
+	}
+	if r := c.jobs["wk-000001"].Rank; r != model.High {
+		t.Errorf("its rank is %v", r)
+	}
+	// The date is past: the one half as long again counts.
+	now = now.Add(90 * time.Second)
+	if d, due := slack("wk-000001"); !due || d != 22*time.Second {
+		t.Errorf("slack to the later date: %v", d)
+	}
+	c.Step(now, JobEnded{ID: "wk-000004", End: model.EndCancelled, At: now})
+	c.paths(now)
+	if _, due := slack("wk-000001"); due || c.jobs["wk-000001"].Rank != model.Normal {
+		t.Error("a job whose dependents are gone still has their date or rank")
+	}
+}
+
+// Production waits for nobody's pipeline: only its own jobs stand above guarantees.
+func TestProductionIsNotHandedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := lead(now, &Snapshot{})
+	c.Step(now, JobAdded{Version: 1, At: now, Spec: stage("wk-000001", time.Second, model.Low)})
+	c.Step(now, JobAdded{Version: 2, At: now, Spec: stage("wk-000002", time.Second, model.Production, "wk-000001")})
+	c.paths(now)
+	if r := c.jobs["wk-000001"].Rank; r != model.High {
+		t.Errorf("rank %v", r)
+	}
+}
+
+func TestAgeGuaranteeAndOrderCountFromTheMomentThatFrees(t *testing.T) {
+	at := time.Unix(1000, 0)
+	first, waits := stage("wk-000001", time.Second, model.Low), stage("wk-000002", time.Second, model.Low, "wk-000001", "wk-000009")
+	other := stage("wk-000003", time.Second, model.Low)
+	snap := &Snapshot{Revision: 3, Jobs: []JobAdded{{Spec: waits, At: at, Version: 2}, {Spec: other, At: at.Add(9 * time.Second), Version: 3},
+		{Spec: first, At: at, Version: 1}}}
+	now := at.Add(10 * time.Second)
+	c := lead(now, snap)
+	if g := c.guaranteed(); !g[c.jobs["wk-000001"]] || g[c.jobs["wk-000002"]] || g[c.jobs["wk-000003"]] {
+		t.Error("8 of 10 guaranteed CPUs go to the first job, none to the one that waits")
+	}
+	var asked []string
+	for _, e := range c.Step(now, Tick{}) {
+		if l, ok := e.(LookUp); ok {
+			asked = l.IDs
+		}
+	}
+	if len(asked) != 1 || asked[0] != "wk-000009" {
+		t.Fatalf("asked for the ends of %v", asked)
+	}
+	j := c.jobs["wk-000002"]
+	c.Step(now, JobEnded{ID: "wk-000001", End: model.EndDone, At: now})
+	if mayStart(j) {
+		t.Fatal("it may start although the end of what it needs is not known")
+	}
+	c.Step(now, EndsIn{Ends: []JobEnded{{ID: "wk-000009", End: model.EndDone}}}) // of the old version: no moment
+	if !mayStart(j) || !j.Since.Equal(now) {
+		t.Errorf("may start: %v, its age counts from %v", mayStart(j), j.Since)
+	}
+	if c.order[len(c.order)-1] != j {
+		t.Error("it does not stand behind the jobs that could start before it")
+	}
+	if g := c.guaranteed(); !g[c.jobs["wk-000003"]] || g[j] {
+		t.Error("the guarantee goes to who could start first")
+	}
+}
+
+// A lookup that finds nothing is not repeated at once, and starts nothing.
+func TestAnEndThatCannotBeFoundOutIsAskedForAgainLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := lead(now, &Snapshot{})
+	count := func(effects []Effect) (n int) {
+		for _, e := range effects {
+			if _, ok := e.(LookUp); ok {
+				n++
+			}
+		}
+		return n
+	}
+	if n := count(c.Step(now, JobAdded{Version: 1, At: now, Spec: stage("wk-000002", time.Second, model.Low, "wk-000001")})); n != 1 {
+		t.Fatalf("asked %d times", n)
+	}
+	if n := count(c.Step(now, EndsIn{})) + count(c.Step(now.Add(100*time.Millisecond), Tick{})); n != 0 {
+		t.Error("asked again at once")
+	}
+	if n := count(c.Step(now.Add(time.Second), Tick{})); n != 1 || mayStart(c.jobs["wk-000002"]) {
+		t.Errorf("asked %d times, may start: %v", n, mayStart(c.jobs["wk-000002"]))
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -152,6 +152,9 @@
 		change(m)
 		return m
 	}
+	awaits := func(id string, list any) map[string]any {
+		return with(id, func(m map[string]any) { m["awaits"] = list })
+	}
 	for _, c := range []struct {
 		name, method, path string
 		body               any
@@ -170,6 +173,14 @@
 		{"fits no machine", "POST", "/api/jobs", with("wk-000004", func(m map[string]any) { m["cores"] = 9 }), 422, ""},
 		{"a gang over the limit", "POST", "/api/jobs", with("wk-000005", func(m map[string]any) { m["shape"], m["rows"] = "ensemble", 9 }), 422, ""},
 		{"an array may be over it", "POST", "/api/jobs", with("wk-000006", func(m map[string]any) { m["rows"] = 900 }), 201, "queued"},
+		{"awaits nothing", "POST", "/api/jobs", awaits("wk-000010", nil), 201, "queued"},
+		{"awaits an empty list", "POST", "/api/jobs", awaits("wk-000011", []any{}), 201, "queued"},
+		{"awaits known jobs", "POST", "/api/jobs", awaits("wk-000012", []any{"wk-000001", "wk-000009", "wk-000009"}), 201, "queued"},
+		{"awaits no list", "POST", "/api/jobs", awaits("wk-000013", "wk-000001"), 400, ""},
+		{"awaits what is no id", "POST", "/api/jobs", awaits("wk-000014", []any{"wk-000001", "x"}), 400, ""},
+		{"awaits numbers", "POST", "/api/jobs", awaits("wk-000015", []any{1}), 400, ""},
+		{"awaits one never accepted", "POST", "/api/jobs", awaits("wk-000016", []any{"wk-000001", "wk-777777"}), 422, ""},
+		{"known, whatever it awaits by now", "POST", "/api/jobs", awaits("wk-000012", []any{"wk-777777"}), 200, "running"},
 		{"poll", "GET", "/api/jobs/wk-000001", nil, 200, "running"},
 		{"poll, over", "GET", "/api/jobs/wk-000009", nil, 200, "done"},
 		{"poll, unheard of", "GET", "/api/jobs/wk-777777", nil, 404, ""},
@@ -199,6 +210,11 @@
 	if code, _, after := do("POST", "/api/jobs", submission("wk-000002")); code != 503 || after == "" {
 		t.Errorf("submission: got %d, Retry-After %q", code, after)
 	}
+	after := submission("wk-000003")
+	after["awaits"] = []any{"wk-777777"}
+	if code, _, _ := do("POST", "/api/jobs", after); code != 503 {
+		t.Errorf("a submission whose needs nobody can look up: got %d", code)
+	}
 	if code, body, _ := do("GET", "/api/jobs/wk-000009", nil); code != 200 || body["status"] != "withdrawn" {
 		t.Errorf("a final state needs no state service: got %d %v", code, body)
 	}
