--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -45,16 +45,16 @@
 	c.rent(now, plan.Lacking)
 }
 
-// consolidate moves one replica from a dear machine to a cheap one.
+// consolidate moves one replica off a machine that is dear, or that it has to itself.
 func (c *Core) consolidate(now time.Time, p *sched.Picture) {
 	if c.unsure > 0 || c.set.Consolidate == 0 || now.Before(c.moveAt) {
 		return
 	}
+	c.moveAt = now.Add(c.set.Consolidate)
 	for _, j := range c.order {
-		if a := sched.Consolidate(&c.set.Sched, p, j); a != nil {
+		if a := sched.Consolidate(&c.set.Sched, now, p, j); a != nil {
 			c.log.Info("moving", "task", a.Task, "from", a.Machine.Name, "type", a.Machine.Type.Name)
 			c.halt(now, a)
-			c.moveAt = now.Add(c.set.Consolidate)
 			return
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -289,33 +289,54 @@
 }
 
 // Consolidate finds a replica that sits on a dear machine although a cheap one has
-// room and its image: the paper's consolidation, for when nothing waits. The move
-// costs a moment, since nothing has to be fetched. It returns nil if there is none.
-func Consolidate(s *Settings, p *Picture, j *model.Job) *model.Attempt {
+// room and its image, or that keeps a machine to itself although a busier one that is
+// no dearer has: the paper's consolidation, for when nothing waits that room would
+// help. The move costs a moment, since nothing has to be fetched. A replica that has
+// only just begun stays. It returns nil if there is none.
+func Consolidate(s *Settings, now time.Time, p *Picture, j *model.Job) *model.Attempt {
 	spec := j.Spec
 	if spec.Shape != model.Service || len(j.Live) < spec.Tasks || spec.OneZone && spec.Tasks > 1 {
 		return nil
 	}
 	dear := p.dearer(spec, s.Dear)
 	zones := map[string]int{}
-	var found *model.Attempt
+	var off, lone []*model.Attempt
 	for _, a := range j.Live {
-		if a.State != model.Present || a.Phase != model.Running {
+		if a.State != model.Present || a.Phase != model.Running || now.Sub(a.RunningAt) < s.MinRun {
 			return nil // one at a time
 		}
 		zones[a.Machine.Zone]++
-		if rate(a.Machine) > dear && (found == nil || a.Task.Index < found.Task.Index) {
-			found = a
+		if rate(a.Machine) > dear {
+			off = append(off, a)
+		} else if a.Machine.Holding == 1 {
+			lone = append(lone, a)
 		}
 	}
-	if found == nil {
-		return nil
+	takes := func(a *model.Attempt, nd *Node) bool {
+		room := zones[nd.Machine.Zone]
+		if nd.Machine.Zone == a.Machine.Zone {
+			room--
+		}
+		return nd.Machine != a.Machine && nd.hasImage(spec) && Allowed(spec, nd.Machine, "") && !nd.kept(spec) && spec.Need.Fits(nd.Free) &&
+			j.ErrorOn[nd.Machine.Name] == 0 && room < spec.ZoneCap()
 	}
-	zones[found.Machine.Zone]--
-	for _, nd := range p.Nodes {
-		if rate(nd.Machine) <= dear && nd.hasImage(spec) && Allowed(spec, nd.Machine, "") && !nd.kept(spec) && spec.Need.Fits(nd.Free) &&
-			j.ErrorOn[nd.Machine.Name] == 0 && zones[nd.Machine.Zone] < spec.ZoneCap() {
-			return found
+	byIndex := func(a, b *model.Attempt) int { return cmp.Compare(a.Task.Index, b.Task.Index) }
+	slices.SortFunc(off, byIndex)
+	slices.SortFunc(lone, byIndex)
+	for _, a := range off {
+		for _, nd := range p.Nodes {
+			if rate(nd.Machine) <= dear && takes(a, nd) {
+				return a
+			}
+		}
+	}
+	for _, a := range lone {
+		for _, nd := range p.Nodes {
+			// Busier, or as busy and first by name: two that are alone don't swap.
+			c := cmp.Or(cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)), cmp.Compare(a.Machine.Name, nd.Machine.Name))
+			if c > 0 && rate(nd.Machine) <= rate(a.Machine) && takes(a, nd) {
+				return a
+			}
 		}
 	}
 	return nil
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -220,21 +220,58 @@
 	}
 }
 
+// later is long after everything that runs was started.
+var later = time.Unix(1000, 0)
+
+func TestAReplicaThatHasAMachineToItselfMovesToABusierOne(t *testing.T) {
+	from, to := node("b", "a", cheap, 4), node("a", "a", cheap, 4)
+	for _, nd := range []*Node{from, to} {
+		nd.Machine.Used, nd.Machine.Holding = model.Resources{CPU: 4, MemGB: 4}, 1
+		nd.Machine.Images["img"] = time.Unix(1, 0)
+	}
+	w := want("s", 2, func(s *model.Spec) { s.Shape = model.Service })
+	at := func(nd *Node, i int) *model.Attempt {
+		a := &model.Attempt{Task: model.TaskID{Job: "s", Index: i}, Machine: nd.Machine, State: model.Present, Phase: model.Running}
+		w.Job.Live[i] = a
+		return a
+	}
+	stays, moves := at(to, 0), at(from, 1)
+	p := picture([]*Node{from, to})
+	if got := Consolidate(set, later, p, w.Job); got != moves {
+		t.Errorf("moves %v, not the one that is alone on the second machine", got)
+	}
+	moves.RunningAt = later.Add(-time.Second)
+	if got := Consolidate(set, later, p, w.Job); got != nil {
+		t.Error("one that has only just begun is stopped: its start was in vain")
+	}
+	moves.RunningAt = stays.RunningAt
+	w.Job.Spec.Spread = true
+	to.Machine.Zone, from.Machine.Zone = "a", "b"
+	if got := Consolidate(set, later, p, w.Job); got != nil {
+		t.Error("both replicas of a spread service would be in one zone")
+	}
+	w.Job.Spec.Spread = false
+	to.Machine.Type = dear
+	if got := Consolidate(set, later, p, w.Job); got != stays {
+		t.Errorf("moves %v: to a dearer machine, or not off one", got)
+	}
+}
+
 func TestAReplicaMovesOffADearMachine(t *testing.T) {
 	from, to := node("gpu", "a", dear, 4), node("eight", "a", cheap, 0)
 	w := want("s", 1, func(s *model.Spec) { s.Shape = model.Service })
 	a := &model.Attempt{Task: model.TaskID{Job: "s"}, Machine: from.Machine, State: model.Present, Phase: model.Running}
 	w.Job.Live[0] = a
 	p := picture([]*Node{from, to})
-	if got := Consolidate(set, p, w.Job); got != nil {
+	if got := Consolidate(set, later, p, w.Job); got != nil {
 		t.Error("moved to a machine that would have to fetch its image")
 	}
 	to.Machine.Images["img"] = time.Unix(1, 0)
-	if got := Consolidate(set, p, w.Job); got != a {
+	if got := Consolidate(set, later, p, w.Job); got != a {
 		t.Errorf("moves %v", got)
 	}
 	to.Free.CPU = 2
-	if got := Consolidate(set, p, w.Job); got != nil {
+	if got := Consolidate(set, later, p, w.Job); got != nil {
 		t.Error("moved although there is no room")
 	}
 }
