--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -43,9 +43,6 @@
 		}
 	}
 	c.rent(now, plan.Lacking)
-	if plan.Settled() {
-		c.consolidate(now, p)
-	}
 }
 
 // consolidate moves one replica off a machine that is dear, or that it has to itself.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -106,12 +106,6 @@
 	Lacking []Shortage
 }
 
-// Settled tells that nothing waits but what its team's limit keeps back: more room
-// would help nobody.
-func (plan *Plan) Settled() bool {
-	return len(plan.Place) == 0 && len(plan.Stop) == 0 && !slices.ContainsFunc(plan.Lacking, func(l Shortage) bool { return !l.Limited })
-}
-
 // Picture is what a pass decides from.
 type Picture struct {
 	Nodes   []*Node
