A zone that is cut off: its empty machines are waited for, and none is rented there

The zone then had the fewest machines, so the next ones were rented right there, could not report and were given up after their boot time. Ruled out: silence (that rule already spares a quiet zone). Change: an empty machine out of reach is waited for as long as one in its place would be paid for at least; nothing is rented in a quiet zone while another will do.

--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -51,6 +51,9 @@
 		m.Errors = map[string]int{}
 	}
 	m.Mute = false
+	if m.Holding == 0 && now.Sub(m.LastReport) > c.set.SilentAfter {
+		m.EmptySince = now // from here on it is of use again
+	}
 	m.Session, m.Seq, m.Token, m.LastReport, m.Addr = r.Session, r.Seq, r.Token, now, r.Addr
 	if r.Type != m.Type.Name || m.Type.Cap.CPU < 1e-6 {
 		m.Type = c.typeOf(r.Type)
@@ -530,6 +533,7 @@
 			case m.Unsure || m.Holding > 0:
 			case m.State == model.Draining:
 				giveBack(m, m.Why)
+			case c.away(now, m):
 			case c.set.Fleet.Idle(m.Type, m.Spot, now.Sub(m.EmptySince), now.Sub(m.Rented)):
 				giveBack(m, "idle")
 			}
@@ -570,6 +574,15 @@
 	}
 }
 
+// away tells that an empty machine cannot be reached and may come back: it was not
+// needed for nothing. Guards against giving a whole zone back as idle in the middle of
+// a cut, and renting it anew with work waiting. It is waited for as long as another
+// one in its place would be paid for at least.
+func (c *Core) away(now time.Time, m *model.Machine) bool {
+	silent := now.Sub(m.LastReport)
+	return silent > c.set.SilentAfter && silent < c.set.SilentAfter+c.set.Fleet.LeastPaid
+}
+
 // ask asks the machines that have not reported to a new leader whether they are
 // there, once most have. Guards against a few dead machines, or a single one, that
 // keep all work from before the takeover waiting until their silence is long enough.
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -324,7 +324,7 @@
 	}
 	c.rentedAt = now
 	coming := c.coming(now)
-	v := &fleet.View{Types: c.types, Coming: coming, Refused: c.refused, Count: map[string]int{}, ForGPU: c.forGPU}
+	v := &fleet.View{Types: c.types, Coming: coming, Refused: c.refused, Count: map[string]int{}, Quiet: c.quietZones(now), ForGPU: c.forGPU}
 	for _, m := range c.machines {
 		v.Count[m.Zone]++
 	}
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -606,3 +606,33 @@
 		t.Errorf("%d commands for 1200 tasks", w.Commands)
 	}
 }
+
+// Guards against giving a whole zone back as idle in the middle of a cut, with work
+// waiting that it could do when the cut ends.
+func TestEmptyMachinesOfACutZoneAreWaitedFor(t *testing.T) {
+	w := grown(t, 8, 2)
+	w.Run = 400 * second
+	s := job(model.Array, 16, nil) // fills all eight
+	submit(t, w, s)
+	until(t, w, 20*second, "runs", func() bool { return on(w, s) == 16 })
+	w.Pass(70 * second)
+	w.Types = nil // nothing more can be rented
+	cut := 0
+	for _, k := range w.Workers {
+		if k.Zone == "a" {
+			k.Cut = true
+			cut++
+		}
+	}
+	w.Pass(45 * second) // the leases run out, and then far longer than an idle machine is kept
+	for _, k := range w.Workers {
+		if k.Cut {
+			cut--
+			k.Cut = false
+		}
+	}
+	if cut != 0 {
+		t.Errorf("%d machines of the cut zone were given back", cut)
+	}
+	until(t, w, 10*second, "runs again", func() bool { return on(w, s) == 16 })
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,6 +71,7 @@
 	Coming  []*Coming
 	Refused map[Offer]time.Time                        // not before
 	Count   map[string]int                             // machines by zone, to spread over zones
+	Quiet   map[string]bool                            // zones that are likely cut off: what comes up there cannot report
 	ForGPU  func(t *model.MachineType, spot bool) bool // machines that are kept for GPU work
 }
 
@@ -91,7 +92,9 @@
 
 // Rent decides what to rent for the tasks that fit on no machine that is up.
 // Tasks first fill what is booting; for the rest the cheapest fitting kind that
-// was not refused lately is asked for.
+// was not refused lately is asked for, in a quiet zone only where no other will do.
+// Guards against renting in the middle of a cut right where nothing can report, since
+// that zone seems to have the fewest machines.
 func Rent(s *Settings, now time.Time, v *View, lacking []sched.Shortage) []Ask {
 	for _, c := range v.Coming {
 		if c.free = c.Type.Cap; c.Soon != nil {
@@ -186,6 +189,7 @@
 		price float64
 		per   int
 		count int
+		quiet int
 	}
 	var options []option
 	for i := range v.Types {
@@ -206,7 +210,11 @@
 				if spec.Zone != "" && z != spec.Zone || now.Before(v.Refused[o]) || spec.Spread && zones[z] >= spec.ZoneCap() {
 					continue
 				}
-				options = append(options, option{o, p, per, v.Count[z]})
+				quiet := 0
+				if v.Quiet[z] {
+					quiet = 1
+				}
+				options = append(options, option{o, p, per, v.Count[z], quiet})
 			}
 		}
 	}
@@ -214,7 +222,7 @@
 		return Offer{}, 0, false
 	}
 	best := slices.MinFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.count, b.count), cmp.Compare(a.Zone, b.Zone))
+		return cmp.Or(cmp.Compare(a.quiet, b.quiet), cmp.Compare(a.price, b.price), cmp.Compare(a.count, b.count), cmp.Compare(a.Zone, b.Zone))
 	})
 	return best.Offer, best.per, true
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -98,3 +98,17 @@
 		}
 	}
 }
+
+// Guards against renting where nothing can report: a zone that is cut off seems to
+// have the fewest machines.
+func TestNothingIsRentedInAQuietZoneWhileAnotherWillDo(t *testing.T) {
+	v := view()
+	v.Count, v.Quiet = map[string]int{"b": 9}, map[string]bool{"a": true}
+	if asks := Rent(set, time.Unix(0, 0), v, lacking(8, nil)); len(asks) != 1 || count(asks, Offer{"small", "b", false}) != 4 {
+		t.Errorf("asked for %v", asks)
+	}
+	bound := lacking(2, func(s *model.Spec) { s.Zone = "a" })
+	if asks := Rent(set, time.Unix(0, 0), v, bound); len(asks) != 1 || count(asks, Offer{"small", "a", false}) != 1 {
+		t.Errorf("for a job that is bound to it: asked for %v", asks)
+	}
+}
