--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -332,9 +332,6 @@
 		if len(c.renting) >= maxRenting {
 			break
 		}
-		if c.asked(ask.Offer) {
-			continue // its answer tells whether there is more
-		}
 		r := model.Rental{Name: c.nextHire(), Type: ask.Type, Zone: ask.Zone, Spot: ask.Spot, Count: ask.Count}
 		c.renting[r.Name] = r
 		c.log.Info("renting", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count, "for", ask.For)
@@ -342,18 +339,6 @@
 	}
 }
 
-// asked tells whether a kind of machine is being asked for. Guards against a queue of
-// requests for what the first answer shows to be gone: at one or two calls a second
-// they kept returns, and kinds that there were, waiting for half a minute.
-func (c *Core) asked(o fleet.Offer) bool {
-	for _, r := range c.renting {
-		if o == (fleet.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}) {
-			return true
-		}
-	}
-	return false
-}
-
 const (
 	maxRenting = 4                      // rental requests in flight: the cloud takes few a second
 	rentEvery  = 200 * time.Millisecond // between thoughts about renting
