--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,12 +1,15 @@
 package front
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
 	"maps"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -254,3 +257,39 @@
 		t.Errorf("a malformed report: got %d", code)
 	}
 }
+
+// The pipeline that the README shows is taken as it stands there.
+func TestThePipelineOfTheReadmeIsTaken(t *testing.T) {
+	text, err := os.ReadFile("../../README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, _ = bytes.Cut(text, []byte("## A pipeline"))
+	text, _, _ = bytes.Cut(text, []byte("## Tests"))
+	do := serve(t, &records{known: map[string]store.JobView{}}, &backend{types: eight})
+	posts := bytes.Split(text, []byte("POST /api/jobs\n"))
+	if len(posts) != 3 {
+		t.Fatalf("%d submissions", len(posts)-1)
+	}
+	for _, p := range posts[1:] {
+		d := json.NewDecoder(bytes.NewReader(p))
+		d.UseNumber()
+		var body map[string]any
+		if err := d.Decode(&body); err != nil {
+			t.Fatal(err)
+		}
+		for k, v := range body {
+			if n, ok := v.(json.Number); ok {
+				if body[k], err = n.Int64(); err != nil {
+					body[k], err = n.Float64()
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if code, answer, _ := do("POST", "/api/jobs", body); code != 201 {
+			t.Errorf("%v: %d %v", body["ref"], code, answer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/limits_test.go
@@ -0,0 +1,111 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/fake"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// service is a state service with low limits, and a client of it.
+func service() (*fake.State, *store.Client) {
+	now := time.Unix(1000, 0)
+	s := fake.NewState(func() time.Time { return now })
+	s.MostValue, s.MostOps = 2048, 4
+	c := store.NewOver(s, s, time.Second)
+	c.SetRates(1e9, 1e9)
+	return s, c
+}
+
+// Every record that a leader writes is taken under the lowest limits, alone and as
+// many together as go into one transaction.
+func TestAllRecordsOfALeaderKeepWithinTheLimits(t *testing.T) {
+	s, c := service()
+	long := strings.Repeat("x", 200)
+	id := "wk-" + strings.Repeat("9", 37)
+	s.Plant("leader/token", wire.AppendToken(nil, 7, long))
+	token := uint64(2)
+	s.Plant("job/a/"+id, wire.AppendEnded(nil, wire.StateDone, 1, time.Unix(0, 0)))
+	bits := make([]byte, model.ChunkTasks/8)
+	for i := range bits {
+		bits[i] = 0xff
+	}
+	span := model.Chunk{Span: true, N: 98304}
+	machine := model.Listed{Machine: "n-" + long[:40], Addr: "100.100.100.100:10000", Type: long, Zone: long}
+	for name, saves := range map[string][]control.Save{
+		"finished tasks": {{Kind: control.SaveTasks, Job: id, Chunk: span, Bits: bits}, {Kind: control.SaveTasks, Job: id, Bits: bits},
+			{Kind: control.DropTasks, Job: id, Chunk: model.Chunk{N: 6}}, {Kind: control.DropTasks, Job: id, Chunk: span}},
+		"machines":            {{Kind: control.SaveMachine, Machine: machine}, {Kind: control.DropMachine, Machine: machine}},
+		"layout and requests": {{Kind: control.SaveLayout, Tasks: 16384}, {Kind: control.SaveNeed, Need: model.Resources{CPU: 1e8, GPU: 1e8, MemGB: 1e8}}},
+		"a part of a list":    {{Kind: control.DropAwaits, Job: "wk-000001", Key: "job/w/wk-000001/ffffffffffffffff/13"}},
+		"the end of a job":    {{Kind: control.EndJob, Job: id, Version: 3, Tasks: 100_000, At: time.Unix(4e9, 0)}},
+	} {
+		if ok, err := c.Save(context.Background(), token, saves); err != nil || !ok {
+			t.Errorf("%s: %v, %v", name, ok, err)
+		}
+		if len(store.Keys(saves)) != len(saves) || strings.Contains(fmt.Sprint(store.Keys(saves)), " ]") {
+			t.Errorf("%s: a record has no name: %q", name, store.Keys(saves))
+		}
+	}
+}
+
+// A submission is taken under the limits, or refused before anything is written.
+func TestASubmissionIsKeptOrRefusedForGood(t *testing.T) {
+	limits := store.Limits{Value: 2048, Ops: 4}
+	kept, refused := 0, 0
+	for _, text := range []string{"x", "ü", "\x01", "世"} {
+		for _, types := range []int{0, 20, 64} {
+			for _, needs := range []int{0, 30, 300, 1400} {
+				s, c := service()
+				jobs := store.NewJobs(c, 10, limits, func([]store.JobChange) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				if err := jobs.Refresh(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+				spec := &model.Spec{ID: "wk-" + strings.Repeat("1", 37), Class: strings.Repeat(text, 100/len(text)), Team: strings.Repeat(text, 100/len(text)),
+					Image: strings.Repeat(text, 200/len(text)), Zone: "zone", Shape: model.Array, Rank: model.Normal, Tasks: 100_000,
+					Need: model.Resources{CPU: 0.1, GPU: 1e8, MemGB: 12345.678}, ImageGB: 0.3, Estimate: 1e8 * time.Second, Deadline: time.Second}
+				for i := range types {
+					spec.Types = append(spec.Types, fmt.Sprintf("machine-type-of-some-length-%d", i))
+				}
+				for i := range needs {
+					spec.Awaits = append(spec.Awaits, fmt.Sprintf("wk-%037d", i))
+				}
+				err := jobs.Fits(spec)
+				created, _, aerr := jobs.Accept(context.Background(), spec, false, time.Unix(4e9, 0))
+				switch {
+				case err == nil:
+					kept++
+					if aerr != nil || !created {
+						t.Errorf("%q, %d types, awaits %d: it fits, but %v", text, types, needs, aerr)
+					}
+					if err := jobs.Refresh(context.Background()); err != nil {
+						t.Fatal(err)
+					}
+					if v := jobs.Peek(spec.ID); v.Spec == nil || len(v.Spec.Awaits) != needs {
+						t.Errorf("%q, %d types, awaits %d: read back as %+v", text, types, needs, v)
+					}
+				case errors.Is(err, store.ErrTooLarge):
+					refused++
+					if !errors.Is(aerr, store.ErrTooLarge) || len(s.Keys("job/")) != 0 {
+						t.Errorf("%q, %d types, awaits %d: refused, but %v and %v", text, types, needs, aerr, s.Keys("job/"))
+					}
+				default:
+					t.Errorf("%v", err)
+				}
+			}
+		}
+	}
+	if kept < 8 || refused < 8 {
+		t.Errorf("%d kept, %d refused: the cases do not tell them apart", kept, refused)
+	}
+}
