--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -51,17 +51,8 @@
 		return
 	}
 	c.moveAt = now.Add(c.set.Consolidate)
-	pays := func(a *model.Attempt) bool {
-		ran := now.Sub(a.RunningAt)
-		slack, due := c.slack(now, a.Job, true, ran)
-		return c.runs.estimate(a.Job.Spec)-ran > c.set.Sched.MinRun && !(due && slack >= 0 && slack < c.set.Sched.Tight)
-	}
 	for _, j := range c.order {
-		a := sched.Consolidate(&c.set.Sched, now, p, j)
-		if a == nil {
-			a = sched.Gather(&c.set.Sched, now, p, j, pays)
-		}
-		if a != nil {
+		if a := sched.Consolidate(&c.set.Sched, now, p, j); a != nil {
 			c.log.Info("moving", "task", a.Task, "from", a.Machine.Name, "type", a.Machine.Type.Name)
 			c.halt(now, a)
 			return
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -331,38 +331,12 @@
 		}
 	}
 	for _, a := range lone {
-		if slices.ContainsFunc(p.Nodes, func(nd *Node) bool { return busier(nd.Machine, a.Machine) && takes(a, nd) }) {
-			return a
-		}
-	}
-	return nil
-}
-
-// busier tells that a machine is a better place than another for what is alone there:
-// it is busier, or as busy and first by name, so that two that are alone don't swap;
-// and it is no dearer.
-func busier(m, than *model.Machine) bool {
-	c := cmp.Or(cmp.Compare(share(m, m.Used), share(than, than.Used)), cmp.Compare(than.Name, m.Name))
-	return c > 0 && rate(m) <= rate(than)
-}
-
-// Gather finds a task of an array that can save and that keeps a machine to itself
-// although a busier one that is no dearer has room and its image. pays tells whether
-// its move is worth the time to save and endangers no date.
-func Gather(s *Settings, now time.Time, p *Picture, j *model.Job, pays func(*model.Attempt) bool) *model.Attempt {
-	spec := j.Spec
-	if spec.Shape != model.Array || spec.Checkpoint == 0 || spec.OneZone || spec.Spread {
-		return nil
-	}
-	for _, a := range j.Live {
-		if a.State != model.Present || a.Phase != model.Running || a.Machine.Holding > 1 || now.Sub(a.RunningAt) < s.MinRun || !pays(a) {
-			continue
-		}
-		if slices.ContainsFunc(p.Nodes, func(nd *Node) bool {
-			return nd.Machine != a.Machine && busier(nd.Machine, a.Machine) && nd.hasImage(spec) && Allowed(spec, nd.Machine, "") && !nd.kept(spec) &&
-				spec.Need.Fits(nd.Free) && j.ErrorOn[nd.Machine.Name] == 0
-		}) {
-			return a
+		for _, nd := range p.Nodes {
+			// Busier, or as busy and first by name: two that are alone don't swap.
+			c := cmp.Or(cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)), cmp.Compare(a.Machine.Name, nd.Machine.Name))
+			if c > 0 && rate(nd.Machine) <= rate(a.Machine) && takes(a, nd) {
+				return a
+			}
 		}
 	}
 	return nil
