--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -94,7 +94,6 @@
 	BootExtra  Duration `xml:"boot-extra"`
 	Refused    Duration `xml:"refused"`
 	SoonBoots  float64  `xml:"soon-boots"`
-	ShedRoom   float64  `xml:"shed-room"`
 	List       Duration `xml:"list"`
 	Catalog    Duration `xml:"catalog"`
 	strict
@@ -126,7 +125,7 @@
 		Leadership: Leadership{Lease: s(4), Margin: s(0.2), Look: s(2), Retry: s(0.25)},
 		Scheduler: Scheduler{IdlePower: 0.7, Overtake: s(60), OvertakeLate: s(900), Pass: s(0.05), Flush: s(0.5), PreemptGuarantees: true, PreemptMost: 16, ImageFirst: true, Tight: s(30), Dear: 2, Consolidate: s(1),
 			MinRun: s(30), Backoff: s(4), BackoffMost: s(60)},
-		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, LeastPaid: s(60), KeepSpot: 4, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), SoonBoots: 1, ShedRoom: 12, List: s(5), Catalog: s(60)},
+		Fleet: Fleet{KeepIdle: s(20), KeepBoots: 1, LeastPaid: s(60), KeepSpot: 4, BootFactor: 2.5, BootExtra: s(5), Refused: s(15), SoonBoots: 1, List: s(5), Catalog: s(60)},
 		Workers: Workers{LeaseMargin: s(0.5), SilentShare: 0.34, SickErrors: 2, DirectWait: s(1.5),
 			DirectHold: s(3)},
 		Front: Front{StateTimeout: s(1.2), RetryAfter: s(1), KeepEnded: 50_000},
@@ -210,7 +209,6 @@
 	number("fleet/boot-factor", o.Fleet.BootFactor, 1, 100)
 	span("fleet/boot-extra", o.Fleet.BootExtra, 0, time.Hour)
 	number("fleet/soon-boots", o.Fleet.SoonBoots, 0, 100)
-	number("fleet/shed-room", o.Fleet.ShedRoom, 0, 1000)
 	span("fleet/refused", o.Fleet.Refused, time.Second, time.Hour)
 	span("fleet/list", o.Fleet.List, time.Second, time.Hour)
 	span("fleet/catalog", o.Fleet.Catalog, time.Second, 24*time.Hour)
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -58,9 +58,6 @@
 			return
 		}
 	}
-	if m := c.set.Fleet.Shed(p.Nodes); m != nil {
-		c.drain(now, m, "dear")
-	}
 }
 
 // launch starts one task of a want. From here on it counts as being on the
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,8 +22,6 @@
 	Refused    time.Duration // a refused kind of machine is asked for again after this
 	SoonBoots  float64       // nothing is rented for what likely becomes free within this many boot times
 	MaxRent    int           // machines in one request
-	Dear       float64       // a machine whose CPUs cost this many times another's is dear beside it
-	ShedRoom   float64       // a dear machine is let go while cheap ones have this many times its CPUs free; 0: never
 }
 
 // Offer is a kind of machine: what one rental request asks for.
@@ -67,39 +65,6 @@
 	return time.Duration(s.BootFactor*float64(t.Boot)) + s.BootExtra
 }
 
-// Shed finds a machine that takes nothing more and goes back when it is empty, for
-// when nothing waits: the dearest, and of those the least used, beside which machines
-// that cost far less have plenty of room. Guards against dear machines that were
-// rented in a burst and, filled up again and again as the best fit, stay for hours.
-// It returns nil if there is none.
-func (s *Settings) Shed(nodes []*sched.Node) *model.Machine {
-	if s.ShedRoom == 0 {
-		return nil
-	}
-	free := map[float64]float64{} // CPUs by their rate
-	for _, nd := range nodes {
-		if !nd.ForGPU {
-			free[sched.Rate(nd.Machine)] += nd.Free.CPU
-		}
-	}
-	var best *model.Machine
-	for _, nd := range nodes {
-		m, room := nd.Machine, 0.0
-		if nd.ForGPU || best != nil && cmp.Or(cmp.Compare(sched.Rate(best), sched.Rate(m)), cmp.Compare(m.Used.CPU, best.Used.CPU), cmp.Compare(m.Name, best.Name)) >= 0 {
-			continue
-		}
-		for rate, cpus := range free {
-			if rate*s.Dear <= sched.Rate(m) {
-				room += cpus
-			}
-		}
-		if room >= s.ShedRoom*m.Type.Cap.CPU {
-			best = m
-		}
-	}
-	return best
-}
-
 // View is what the fleet rule decides from.
 type View struct {
 	Types   []model.MachineType
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -306,7 +306,7 @@
 			return nil // one at a time
 		}
 		zones[a.Machine.Zone]++
-		if Rate(a.Machine) > dear {
+		if rate(a.Machine) > dear {
 			off = append(off, a)
 		} else if a.Machine.Holding == 1 {
 			lone = append(lone, a)
@@ -325,7 +325,7 @@
 	slices.SortFunc(lone, byIndex)
 	for _, a := range off {
 		for _, nd := range p.Nodes {
-			if Rate(nd.Machine) <= dear && takes(a, nd) {
+			if rate(nd.Machine) <= dear && takes(a, nd) {
 				return a
 			}
 		}
@@ -334,7 +334,7 @@
 		for _, nd := range p.Nodes {
 			// Busier, or as busy and first by name: two that are alone don't swap.
 			c := cmp.Or(cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)), cmp.Compare(a.Machine.Name, nd.Machine.Name))
-			if c > 0 && Rate(nd.Machine) <= Rate(a.Machine) && takes(a, nd) {
+			if c > 0 && rate(nd.Machine) <= rate(a.Machine) && takes(a, nd) {
 				return a
 			}
 		}
@@ -406,11 +406,11 @@
 }
 
 func (st stage) takes(nd *Node, spec *model.Spec) bool {
-	return (!st.image || nd.hasImage(spec)) && (st.rate == 0 || Rate(nd.Machine) <= st.rate)
+	return (!st.image || nd.hasImage(spec)) && (st.rate == 0 || rate(nd.Machine) <= st.rate)
 }
 
-// Rate is what a CPU of a machine costs an hour.
-func Rate(m *model.Machine) float64 {
+// rate is what a CPU of a machine costs an hour.
+func rate(m *model.Machine) float64 {
 	if m.Spot {
 		return m.Type.SpotPrice / m.Type.Cap.CPU
 	}
@@ -422,7 +422,7 @@
 func (p *Picture) dearer(spec *model.Spec, factor float64) float64 {
 	least := 0.0
 	for _, nd := range p.Nodes {
-		if r := Rate(nd.Machine); Allowed(spec, nd.Machine, "") && (least == 0 || r < least) {
+		if r := rate(nd.Machine); Allowed(spec, nd.Machine, "") && (least == 0 || r < least) {
 			least = r
 		}
 	}
@@ -526,7 +526,7 @@
 			// Where the efficiency is equal: the image, then the cheaper kind.
 			better := eff > bestEff+1e-9
 			if best != nil && !better && eff > bestEff-1e-9 {
-				better = image && !bestImage || image == bestImage && Rate(nd.Machine) < 0.999*Rate(best.Machine)
+				better = image && !bestImage || image == bestImage && rate(nd.Machine) < 0.999*rate(best.Machine)
 			}
 			if best == nil || better {
 				best, bestEff, bestImage = nd, eff, image
