--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -89,9 +89,10 @@
 	if s.MostOps > 0 && (len(ops) > s.MostOps || len(conds) > 4*s.MostOps) {
 		return false
 	}
+	all := 0
 	for _, o := range ops {
 		b, err := json.Marshal(o.(map[string]any)["value"])
-		if err != nil || s.MostValue > 0 && len(b) > s.MostValue {
+		if all += len(b); err != nil || s.MostValue > 0 && len(b) > s.MostValue || all > 64<<10 {
 			return false
 		}
 		s.Largest = max(s.Largest, len(b))
--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -96,6 +96,7 @@
 // NewJobs makes an empty view. notify is told of changes, in order, and must
 // not call back.
 func NewJobs(c *Client, keep int, limits Limits, notify func([]JobChange), log *slog.Logger) *Jobs {
+	limits.Value = min(limits.Value, mostTxn)
 	return &Jobs{c: c, log: log, limits: limits, keep: keep, notify: notify, active: map[string]JobView{}, ended: map[string]JobView{},
 		graph: model.NewGraph(), parts: map[string][]string{}}
 }
@@ -621,9 +622,10 @@
 }
 
 const (
-	partOverhead = 100 // of a part besides the ids
-	idOverhead   = 4   // of an id besides its letters
-	condsPerOp   = 4   // conditions that a transaction may have for each change
+	partOverhead = 100      // of a part besides the ids
+	idOverhead   = 4        // of an id besides its letters
+	condsPerOp   = 4        // conditions that a transaction may have for each change
+	mostTxn      = 48 << 10 // of values in one transaction: the published bound of 64 KiB, less all else
 )
 
 // Fits tells whether the records of a new job can be kept at all.
@@ -645,7 +647,7 @@
 			return false, v, err
 		}
 		for len(parts) > 0 {
-			n := min(len(parts), j.limits.Ops)
+			n := min(len(parts), j.limits.Ops, max(1, mostTxn/j.limits.Value))
 			rev, ok, err := j.c.Commit(ctx, &wire.Txn{Then: parts[:n]}, false)
 			if err != nil || !ok {
 				return false, v, errors.Join(ErrNotExecuted, err)
--- a/internal/store/limits_test.go
+++ b/internal/store/limits_test.go
@@ -59,6 +59,20 @@
 	}
 }
 
+// The bound on a whole transaction holds too, where values may be large.
+func TestALongListKeepsWithinATransaction(t *testing.T) {
+	s, c := service()
+	s.MostValue, s.MostOps = 16<<10, 12
+	jobs := store.NewJobs(c, 10, store.Limits{Value: 16 << 10, Ops: 12}, func([]store.JobChange) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	spec := &model.Spec{ID: "wk-000001", Class: "c", Team: "t", Shape: model.Array, Rank: model.Normal, Tasks: 1, Need: model.Resources{CPU: 1}}
+	for i := range 7000 { // as many short ids as a submission can hold
+		spec.Awaits = append(spec.Awaits, fmt.Sprintf("wk-%06d", i))
+	}
+	if created, _, err := jobs.Accept(context.Background(), spec, false, time.Unix(4e9, 0)); err != nil || !created {
+		t.Errorf("accepted=%v, %v", created, err)
+	}
+}
+
 // A submission is taken under the limits, or refused before anything is written.
 func TestASubmissionIsKeptOrRefusedForGood(t *testing.T) {
 	limits := store.Limits{Value: 2048, Ops: 4}
@@ -105,7 +119,7 @@
 			}
 		}
 	}
-	if kept < 8 || refused < 8 {
+	if kept < 8 || refused < 8 { // of 48
 		t.Errorf("%d kept, %d refused: the cases do not tell them apart", kept, refused)
 	}
 }
