Polls leave half of the requests to the state service to others

Cause: submissions took 150 to 400 ms in steps of 76 ms: a follower of five may make 13 requests a second, and reads for polls, 25 ms apart, kept that budget spent. The commit of a submission, and the watch that tells of the jobs that it awaits, stood in line behind them. Ruled out: the state service (30 of 150 requests a second used), the budget for changes. Change: reads for polls keep a pace at which they take half of the requests.

--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -416,7 +416,7 @@
 	}
 }
 
-// syncPause gathers answers for one read.
+// syncPause gathers answers for one read, at the least.
 const syncPause = 25 * time.Millisecond
 
 func (j *Jobs) syncLoop() {
@@ -432,7 +432,9 @@
 		j.mu.Unlock()
 		b.err = j.CatchUp(context.Background())
 		close(b.done)
-		time.Sleep(syncPause)
+		// Guards against polls that use up the budget: submissions, and the watch that
+		// tells of the jobs that they await, then stood in line behind them.
+		time.Sleep(max(syncPause, j.c.Pace()))
 	}
 }
 
--- a/internal/store/limits_test.go
+++ b/internal/store/limits_test.go
@@ -123,3 +123,13 @@
 		t.Errorf("%d kept, %d refused: the cases do not tell them apart", kept, refused)
 	}
 }
+
+// Guards against polls that spend the whole budget: reads at this pace leave half of
+// the requests to submissions and to the watch.
+func TestPolledReadsLeaveHalfOfTheRequests(t *testing.T) {
+	_, c := service()
+	c.SetRates(20, 5)
+	if reads := time.Second / c.Pace(); reads != 10 {
+		t.Errorf("%d reads a second out of 20 requests", reads)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -61,6 +61,12 @@
 	c.writes.SetBurst(max(12, int(changes/2)))
 }
 
+// Pace is how far apart reads that could be made all the time have to be, so that
+// they take no more than half of the requests.
+func (c *Client) Pace() time.Duration {
+	return time.Duration(2 / float64(c.reads.Limit()) * float64(time.Second))
+}
+
 // budget waits until a request with n changes is within the budget.
 func (c *Client) budget(ctx context.Context, n int) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
