A rank that was handed on does not reach into other teams' guarantees

A job may take the rank of the jobs that need it; with it, work that another team runs inside its guarantee could have been stopped. Only the job's own rank does that now.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -257,7 +257,11 @@
 	if v.Rank == model.Production {
 		return false // its users would miss it at once
 	}
-	if v.Rank >= w.Job.Rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
+	rank := w.Job.Rank
+	if !v.Over && v.Attempt.Team != w.Job.Spec.Team {
+		rank = w.Job.Spec.Rank // one that was handed on does not reach into others' guarantees
+	}
+	if v.Rank >= rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
 		return false
 	}
 	return w.at.compare(v.standing()) < 0
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -360,3 +360,32 @@
 		t.Errorf("room for a thousand of 1800: looked %d times, placed %d", looks, len(plan.Place))
 	}
 }
+
+// A rank that comes from the jobs behind raises a job among its own team's work and
+// what others run beyond their guarantee, and stops nothing inside it.
+func TestARankThatWasHandedOnSparesOthersGuarantees(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		team  string
+		over  bool
+		own   bool // the rank is the job's own
+		stops int
+	}{
+		{"another team's guaranteed work", "blue", false, false, 0},
+		{"the same, but the rank is its own", "blue", false, true, 1},
+		{"what another team borrows", "blue", true, false, 1},
+		{"lower work of its own team", "red", false, false, 1},
+	} {
+		nd := node("eight", "a", cheap, 8)
+		running(nd, c.team, model.Normal, func(v *Running) { v.Over = c.over })
+		w := want("x", 1, func(s *model.Spec) {
+			if c.own {
+				s.Rank = model.High
+			}
+		})
+		w.Guaranteed, w.Due, w.Slack, w.Job.Rank = true, true, 10*time.Second, model.High
+		if plan := Make(set, picture([]*Node{nd}, w)); len(plan.Stop) != c.stops {
+			t.Errorf("%s: %d stopped", c.name, len(plan.Stop))
+		}
+	}
+}
