The ledger's core: who used what, settled by the leader, off by default

The leader hooks in where an attempt begins to run, ends or is lost, at passes (causes of waiting) and at its takeover.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -89,13 +89,15 @@
 		for i := range v.NumField() {
 			f := v.Field(i)
 			tag := f.Tag.Get("xml")
-			if tag == "" || strings.HasPrefix(tag, ",") || f.Name == "XMLName" {
+			if tag == "" || tag == "-" || strings.HasPrefix(tag, ",") || f.Name == "XMLName" {
 				continue
 			}
-			if !strings.Contains(sample, "<"+tag+">") {
+			if !strings.Contains(sample, "<"+tag+">") && !strings.Contains(sample, "<"+tag+" ") {
 				t.Errorf("the sample does not show <%s>", tag)
 			}
-			if f.Type.Kind() == reflect.Struct {
+			if f.Type.Kind() == reflect.Pointer {
+				check(f.Type.Elem())
+			} else if f.Type.Kind() == reflect.Struct {
 				check(f.Type)
 			}
 		}
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -6,6 +6,7 @@
 	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
 	"github.com/glentiller/glentiller/internal/fleet"
+	"github.com/glentiller/glentiller/internal/ledger"
 	"github.com/glentiller/glentiller/internal/sched"
 	"github.com/glentiller/glentiller/internal/store"
 )
@@ -37,9 +38,47 @@
 		SilentAfter: silent, SilentShare: o.Workers.SilentShare,
 		Backoff: o.Scheduler.Backoff.D(), BackoffMost: o.Scheduler.BackoffMost.D(), SickErrors: o.Workers.SickErrors,
 		DirectHold: o.Workers.DirectHold.D(), Consolidate: o.Scheduler.Consolidate.D(), TxnOps: p.StateLimits().TxnOps, Numbered: numbered(d.State.ValueKB),
+		Ledger: Accounting(p, o),
 	}
 }
 
+// Accounting puts together what the accounting goes by; nil: no ledger is kept.
+func Accounting(p *Platform, o *Operator) *control.Ledger {
+	if o.Ledger == nil {
+		return nil
+	}
+	share := fairShare()
+	if o.FairShare != nil {
+		share = *o.FairShare
+	}
+	limits := p.StateLimits()
+	most := min(int(limits.ValueKB*1024), mostPage)
+	teams := p.Teams()
+	l := &control.Ledger{FairShare: o.FairShare != nil, Weights: map[string]float64{},
+		Settings: ledger.Settings{Half: share.HalfLife.D(), Weights: ledger.Weights{GPU: share.GPUWeight, Mem: share.MemWeight}, Most: most,
+			Keep: ledger.Retention{Hours: o.Ledger.KeepHours.D(), Days: o.Ledger.KeepDays.D()}, Seal: ledger.NewSeal(o.Ledger.Key),
+			// Every team's account is one change. Guards against settlements that
+			// take more than their part of the state service's changes.
+			Settle: max(o.Ledger.Settle.D(), Seconds(float64(len(teams))/(changesPart*max(limits.WriteRPS, 1e-3))))},
+		Day:      func(now time.Time) time.Time { return now },
+		FitsPage: func(p *ledger.Page) bool { return ledger.Size(p.Team, p.Cells) <= most }}
+	for _, t := range teams {
+		// By default what a team is guaranteed; without a guarantee a CPU.
+		l.Weights[t.Name] = max(t.Guarantee.CPU+share.GPUWeight*t.Guarantee.GPU, 1)
+	}
+	for _, w := range share.Weights {
+		if _, ok := l.Weights[w.Team]; ok {
+			l.Weights[w.Team] = w.Value
+		}
+	}
+	return l
+}
+
+const (
+	changesPart = 0.02     // of the changes that the state service takes, for settlements
+	mostPage    = 12 << 10 // of a page: two of them go into one transaction
+)
+
 // Store puts together what the records are kept within.
 func Store(p *Platform) store.Limits {
 	l := p.StateLimits()
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"time"
 )
@@ -53,9 +54,78 @@
 	Fleet      Fleet      `xml:"fleet"`
 	Workers    Workers    `xml:"workers"`
 	Front      Front      `xml:"front"`
+
+	// What is off unless its element is there.
+	Admin     *Admin     `xml:"admin"`
+	Ledger    *Ledger    `xml:"ledger"`
+	FairShare *FairShare `xml:"fair-share"`
+	strict
+}
+
+// Admin is about the operators' interface.
+type Admin struct {
+	Listen    string `xml:"listen"`
+	TokenFile string `xml:"token-file"`
+	strict
+}
+
+// Ledger is about who used what.
+type Ledger struct {
+	Settle    Duration `xml:"settle"`
+	KeepHours Duration `xml:"keep-hours"`
+	KeepDays  Duration `xml:"keep-days"`
+	KeyFile   string   `xml:"key-file"` // "": pages have plain hashes
+	Key       []byte   `xml:"-"`        // what the file holds
+	strict
+}
+
+// FairShare is about the order of teams in what goes beyond guarantees.
+type FairShare struct {
+	HalfLife  Duration `xml:"half-life"`
+	GPUWeight float64  `xml:"gpu-weight"`
+	MemWeight float64  `xml:"memory-weight"`
+	Weights   []Weight `xml:"weight"`
 	strict
 }
 
+// Weight is a team's part, beside those of the others.
+type Weight struct {
+	Team  string  `xml:"team,attr"`
+	Value float64 `xml:",chardata"`
+}
+
+// UnmarshalXML starts from the defaults: the element alone turns the part on.
+func (a *Admin) UnmarshalXML(d *xml.Decoder, start xml.StartElement) error {
+	type plain Admin
+	p := plain{Listen: "127.0.0.1:18090"}
+	err := d.DecodeElement(&p, &start)
+	*a = Admin(p)
+	return err
+}
+
+// UnmarshalXML starts from the defaults: the element alone turns the part on.
+func (l *Ledger) UnmarshalXML(d *xml.Decoder, start xml.StartElement) error {
+	type plain Ledger
+	p := plain{Settle: Duration(5 * time.Second), KeepHours: Duration(7 * day), KeepDays: Duration(92 * day)}
+	err := d.DecodeElement(&p, &start)
+	*l = Ledger(p)
+	return err
+}
+
+// UnmarshalXML starts from the defaults: the element alone turns the part on.
+func (f *FairShare) UnmarshalXML(d *xml.Decoder, start xml.StartElement) error {
+	type plain FairShare
+	p := plain(fairShare())
+	err := d.DecodeElement(&p, &start)
+	*f = FairShare(p)
+	return err
+}
+
+// fairShare are the defaults, by which decayed use is kept also where it orders nothing.
+func fairShare() FairShare { return FairShare{HalfLife: Duration(day), GPUWeight: 8} }
+
+const day = 24 * time.Hour
+
 // Leadership is about who leads.
 type Leadership struct {
 	Lease  Duration `xml:"lease"`
@@ -140,6 +210,9 @@
 		return nil, err
 	}
 	o, err := parseOperator(b)
+	if err == nil && o.Ledger != nil && o.Ledger.KeyFile != "" {
+		o.Ledger.Key, err = ReadSecret(o.Ledger.KeyFile)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -170,15 +243,74 @@
 			return nil, err
 		}
 	}
-	return o, o.check()
+	return o, errors.Join(o.checkParts(), o.check())
 }
 
+// checkParts checks the parts that may be absent.
+func (o *Operator) checkParts() error {
+	var errs []error
+	part := func(name string, s *strict, checks ...error) {
+		errs = append(errs, s.check(name), errors.Join(checks...))
+	}
+	if a := o.Admin; a != nil {
+		var token error
+		if a.TokenFile == "" {
+			token = errors.New("admin/token-file: missing; the interface is not opened without a token")
+		}
+		_, port, err := net.SplitHostPort(a.Listen)
+		if err != nil || port == "" {
+			err = fmt.Errorf("admin/listen: %q is not an address with a port", a.Listen)
+		}
+		part("admin", &a.strict, err, token)
+	}
+	if l := o.Ledger; l != nil {
+		part("ledger", &l.strict, between("ledger/settle", l.Settle, time.Second, 10*time.Minute),
+			between("ledger/keep-hours", l.KeepHours, 2*time.Hour, 10*366*day), between("ledger/keep-days", l.KeepDays, l.KeepHours.D()+2*day, 100*366*day))
+	}
+	if f := o.FairShare; f != nil {
+		part("fair-share", &f.strict, between("fair-share/half-life", f.HalfLife, time.Minute, 366*day))
+		if o.Ledger == nil {
+			errs = append(errs, errors.New("fair-share: needs <ledger>, which knows who used what"))
+		}
+		named := map[string]bool{}
+		for _, w := range append(f.Weights, Weight{"gpu-weight", f.GPUWeight}, Weight{"memory-weight", f.MemWeight}) {
+			if !(w.Value >= 0 && w.Value <= 1e9) || w.Team == "" || named[w.Team] {
+				errs = append(errs, fmt.Errorf("fair-share: the weight %v of %q is not a number from 0 to 1e9, has no team, or is there twice", w.Value, w.Team))
+			}
+			named[w.Team] = true
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func between(name string, v Duration, least, most time.Duration) error {
+	if v.D() < least || v.D() > most {
+		return fmt.Errorf("%s: %v is not between %v and %v", name, v.D(), least, most)
+	}
+	return nil
+}
+
+// ReadSecret reads a token or a key from a file: one line.
+func ReadSecret(path string) ([]byte, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if b = bytes.TrimSpace(b); len(b) < leastSecret || bytes.ContainsAny(b, "\r\n") {
+		return nil, fmt.Errorf("%s: a secret is one line of %d characters or more", path, leastSecret)
+	}
+	return b, nil
+}
+
+// leastSecret is the length of a token or key that nobody guesses.
+const leastSecret = 16
+
 func (o *Operator) check() error {
 	var errs []error
 	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
 	span := func(name string, v Duration, least, most time.Duration) {
-		if v.D() < least || v.D() > most {
-			bad("%s: %v is not between %v and %v", name, v.D(), least, most)
+		if err := between(name, v, least, most); err != nil {
+			errs = append(errs, err)
 		}
 	}
 	number := func(name string, v, least, most float64) {
--- /dev/null
+++ b/internal/control/accounting.go
@@ -0,0 +1,311 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+// Ledger is what the accounting goes by. docs/ledger.md defines what counts as run
+// time; docs/safety.md, "Ledger", argues why nothing is charged twice.
+type Ledger struct {
+	ledger.Settings
+	FairShare bool                            // teams' shares order what goes beyond guarantees
+	Weights   map[string]float64              // by team
+	Day       func(now time.Time) time.Time   // the time of day at a moment of the steady clock: it names pages
+	FitsPage  func(p *ledger.Page) (fit bool) // a closed page within the limits of the state service
+}
+
+// accounts is a leader's accounting.
+type accounts struct {
+	set     *Ledger
+	book    *ledger.Book
+	waits   map[*model.Job]wait
+	bands   map[string]int
+	bandsAt time.Time
+
+	reading bool      // accounts in doubt are asked for
+	readAt  time.Time // none is asked for before this
+	late    []Save    // settlements that the state service has rejected: tried again at
+	lateAt  time.Time
+
+	toFold  map[string]bool // teams whose pages may have become old enough
+	folding bool
+}
+
+// wait is why a job's tasks have been waiting since when.
+type wait struct {
+	cause ledger.Cause
+	tasks uint64
+	since time.Time
+}
+
+// openAccounts goes on from the accounts on record. The time since the last leader
+// settled them is not accounted: what it saw after that nobody knows.
+func (c *Core) openAccounts(now time.Time, snap *Snapshot) {
+	set := c.set.Ledger
+	if set == nil {
+		return
+	}
+	c.acc = &accounts{set: set, book: ledger.NewBook(now, set.Settings, c.token, snap.Accounts), waits: map[*model.Job]wait{},
+		bands: map[string]int{}, toFold: map[string]bool{}}
+	var last ledger.Open
+	for _, r := range snap.Accounts {
+		c.acc.toFold[r.Open.Team] = true
+		if r.Open.Token >= last.Token {
+			last.Token = r.Open.Token
+			if r.Open.At.After(last.At) {
+				last.At = r.Open.At
+			}
+		}
+	}
+	if last.Token == 0 {
+		return // the ledger begins here
+	}
+	s := &ledger.Stretch{From: last.At, To: set.Day(now), Token: c.token, Without: c.token - last.Token - 1}
+	c.log.Info("not accounted", "from", s.From, "to", s.To, "leaders_without_ledger", s.Without)
+	c.saves = append(c.saves, Save{Kind: SaveStretch, Stretch: s})
+}
+
+// begin notes the first message that shows an attempt running: from here on it is
+// charged. What the leader did not launch itself, or had running before, began unseen.
+func (c *Core) begin(now time.Time, a *model.Attempt, p model.Phase, taken bool) {
+	if c.acc == nil || !a.Charged.IsZero() || a.Job == nil || p != model.Running && p != model.Saving {
+		return
+	}
+	a.Ran, a.Charged = now, now
+	u := ledger.Use{Starts: 1}
+	if taken {
+		u = ledger.Use{TakenOver: 1}
+	}
+	c.acc.book.Charge(now, a.Team, a.Job.Spec.Class, u)
+}
+
+// charge charges an attempt's run time up to the moment of a message.
+func (c *Core) charge(now time.Time, a *model.Attempt, upTo time.Time) {
+	if c.acc == nil || a.Charged.IsZero() || !upTo.After(a.Charged) {
+		return
+	}
+	b := c.acc.book
+	ms := b.Instant(upTo) - b.Instant(a.Charged)
+	a.Charged = upTo
+	b.Charge(now, a.Team, a.Job.Spec.Class, ledger.RateOf(a.Need).For(ms))
+}
+
+// wasted notes the run time of an attempt that has to be repeated, since it neither
+// completed nor saved: all of it, or what came after the last checkpoint.
+func (c *Core) wasted(now time.Time, a *model.Attempt) {
+	if c.acc == nil || a.Charged.IsZero() || a.Job.Spec.Shape == model.Service || a.Job.State == model.JobEnded {
+		return
+	}
+	ran := a.Charged.Sub(a.Ran)
+	if every := a.Job.Spec.Checkpoint; every > 0 {
+		ran %= every
+	}
+	c.acc.book.Charge(now, a.Team, a.Job.Spec.Class, ledger.Use{Lost: ledger.RateOf(a.Need).For(uint64(ran / time.Millisecond)).CPU})
+	a.Ran = a.Charged
+}
+
+// waits charges what waited since the last pass to the causes of that time, and notes
+// what keeps each job waiting from now on.
+func (c *Core) waits(now time.Time, lacking []sched.Shortage) {
+	if c.acc == nil {
+		return
+	}
+	why := make(map[*model.Job]sched.Why, len(lacking))
+	for _, l := range lacking {
+		if _, ok := why[l.Want.Job]; !ok {
+			why[l.Want.Job] = l.Why
+		}
+	}
+	for _, j := range c.order {
+		var w *wait
+		if n := j.Waiting(); n > 0 && j.State == model.JobActive {
+			w = &wait{cause: c.cause(now, j, why), tasks: uint64(n), since: now}
+		}
+		c.waited(now, j, w)
+	}
+}
+
+// cause tells what keeps a job's tasks waiting.
+func (c *Core) cause(now time.Time, j *model.Job, why map[*model.Job]sched.Why) ledger.Cause {
+	reason, lacks := why[j]
+	switch {
+	case !mayStart(j):
+		return ledger.Awaits
+	case now.Before(j.NotBefore):
+		return ledger.Backoff
+	case c.unsure > 0 && j.Version <= c.rev && !j.Fresh:
+		return ledger.Takeover
+	case !lacks, reason == sched.WhyLimit:
+		return ledger.Limit // what a pass does not lack and does not place is beyond the limit
+	case reason == sched.WhyGuarantee:
+		return ledger.Guarantee
+	case reason == sched.WhyShare:
+		return ledger.Share
+	}
+	return ledger.Room
+}
+
+// waited charges what a job's tasks waited, and begins to count anew; nil: none waits.
+func (c *Core) waited(now time.Time, j *model.Job, next *wait) {
+	if c.acc == nil {
+		return
+	}
+	w, ok := c.acc.waits[j]
+	if next != nil {
+		c.acc.waits[j] = *next
+	} else if ok {
+		delete(c.acc.waits, j)
+	}
+	b := c.acc.book
+	if ms := b.Instant(now) - b.Instant(w.since); ok && ms > 0 {
+		var u ledger.Use
+		u.Wait[w.cause] = ms * w.tasks
+		b.Charge(now, j.Spec.Team, j.Spec.Class, u)
+	}
+}
+
+// account settles what is due: it charges what runs up to the last message of its
+// machine, and queues the settlements. All that is charged for is in the record that
+// the settlement writes, or in none.
+func (c *Core) account(now time.Time) {
+	acc := c.acc
+	if acc == nil {
+		return
+	}
+	if !now.Before(acc.book.Wake()) {
+		for _, m := range c.machines {
+			for _, a := range m.Rows {
+				if a.Holds() {
+					c.charge(now, a, m.LastReport)
+				}
+			}
+		}
+		day := acc.set.Day(now)
+		for _, team := range acc.book.Due(now) {
+			if s := acc.book.Settle(now, day, team); s != nil {
+				c.saves = append(c.saves, Save{Kind: SaveUse, Use: s})
+			}
+		}
+	}
+	if len(acc.late) > 0 && now.After(acc.lateAt) {
+		c.saves = append(c.saves, acc.late...)
+		acc.late = nil
+	}
+	if !acc.reading && !now.Before(acc.readAt) {
+		if teams := acc.book.Doubts(); len(teams) > 0 {
+			acc.reading = true
+			c.emit(ReadAccounts{teams})
+		}
+	}
+	if len(acc.toFold) > 0 && !acc.folding {
+		acc.folding = true
+		c.emit(ReadPages{slices.Min(slices.Collect(maps.Keys(acc.toFold)))})
+	}
+}
+
+// together takes a save that goes alone, and with a settlement others of its kind: each
+// has a condition of its own, and where one fails all are read and sent again.
+func (c *Core) together(first int) (batch, rest []Save) {
+	lead := &c.saves[first]
+	room := c.set.TxnOps
+	for i := range c.saves {
+		s := &c.saves[i]
+		n := 1
+		if s.Use != nil && s.Use.Closed != nil {
+			n = 2
+		}
+		if i == first || lead.Kind == SaveUse && !lead.Solo && s.Kind == SaveUse && !s.Solo && i > first && n <= room {
+			batch = append(batch, *s)
+			room -= n
+		} else {
+			rest = append(rest, *s)
+		}
+	}
+	return batch, rest
+}
+
+// settled takes the outcome of a settlement, or of a fold.
+func (c *Core) settled(s Save, ev SaveBack) {
+	acc := c.acc
+	switch {
+	case s.Kind == FoldUse:
+		acc.folding = false
+		if ev.Outcome != OK {
+			delete(acc.toFold, s.Fold.Into.Team) // looked through again when a page is closed
+		}
+	case ev.Outcome == OK:
+		acc.book.Settled(s.Use.Open.Team, ev.Version)
+		if s.Use.Closed != nil {
+			c.log.Info("ledger page closed", "team", s.Use.Open.Team, "page", s.Use.Closed.First, "hour", s.Use.Closed.From, "sum", s.Use.Closed.Sum)
+			acc.toFold[s.Use.Open.Team] = true
+		}
+	default:
+		acc.book.Refused(s.Use.Open.Team)
+	}
+}
+
+// unsettled keeps a settlement that the state service rejects, and tries it again much
+// later: until then the team's account is not settled, and nothing of it is lost.
+func (c *Core) unsettled(now time.Time, s Save) {
+	c.acc.late = append(c.acc.late, s)
+	c.acc.lateAt = now.Add(c.set.BackoffMost)
+}
+
+func (c *Core) accountsIn(now time.Time, ev AccountsIn) {
+	acc := c.acc
+	acc.reading = false
+	acc.readAt = now.Add(doubtWait)
+	for team, r := range ev.Accounts {
+		s := acc.book.Read(team, r)
+		c.log.Info("ledger settlement was in doubt", "team", team, "carried_out", s == nil, "settled", r.Open.Settled)
+		if s != nil {
+			c.saves = append(c.saves, Save{Kind: SaveUse, Use: s})
+		}
+	}
+}
+
+// doubtWait is the time between readings of accounts in doubt.
+const doubtWait = 500 * time.Millisecond
+
+func (c *Core) pagesIn(now time.Time, ev PagesIn) {
+	acc, set := c.acc, c.acc.set
+	into, from, n := ledger.Fold(set.Seal, ev.Pages, set.Day(now), set.Keep, c.set.TxnOps, set.FitsPage)
+	if n == 0 {
+		delete(acc.toFold, ev.Team)
+		acc.folding = false
+		return
+	}
+	c.log.Info("ledger pages folded", "team", ev.Team, "pages", n, "into", into.Unit.String(), "from", into.From)
+	c.saves = append(c.saves, Save{Kind: FoldUse, Fold: &Fold{From: ev.Pages[from : from+n], Into: into}})
+}
+
+// OldestPages is how many closed pages are looked through for such as are old enough.
+const OldestPages = 400
+
+// band is a team's band by fair share, looked over once a second.
+func (c *Core) band(team string) int {
+	if c.acc == nil || !c.acc.set.FairShare {
+		return 0
+	}
+	return c.acc.bands[team]
+}
+
+// shares looks teams' bands over.
+func (c *Core) shares(now time.Time) {
+	if c.acc == nil || !c.acc.set.FairShare || now.Before(c.acc.bandsAt) {
+		return
+	}
+	c.acc.bandsAt = now.Add(time.Second)
+	for _, s := range ledger.Standings(c.acc.set.Weights, func(team string) uint64 { return c.acc.book.Decayed(now, team) }) {
+		if c.acc.bands[s.Team] != s.Band {
+			c.log.Info("fair share", "team", s.Team, "band", s.Band, "factor", s.Factor, "part", s.Part, "weight", s.Weight)
+			c.acc.bands[s.Team] = s.Band
+		}
+	}
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/glentiller/glentiller/internal/fleet"
+	"github.com/glentiller/glentiller/internal/ledger"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/sched"
 )
@@ -38,6 +39,8 @@
 	Consolidate  time.Duration // between moves off dear machines; 0: none
 	TxnOps       int
 	Numbered     int // tasks in a numbered chunk of the finished-task record, where no record says so
+
+	Ledger *Ledger // nil: no ledger is kept
 }
 
 // Aim is what users expect of a class of jobs, as far as the order of waiting
@@ -60,6 +63,7 @@
 	Strays   []Save                            // parts of lists of awaited jobs that no unfinished job owns
 	Machines []model.Listed
 	Needs    []model.Resources // GPU requests that were seen
+	Accounts []ledger.OnRecord // of the teams; only where a ledger is kept
 }
 
 // Core is the picture and the decisions of one leader, for one token. It is
@@ -122,6 +126,8 @@
 
 	news map[*model.Machine]bool // machines with commands to send straight away
 
+	acc *accounts // nil: no ledger is kept
+
 	out []Effect
 }
 
@@ -190,6 +196,7 @@
 		m.Registered, m.Unsure = true, true
 		c.unsure++
 	}
+	c.openAccounts(now, snap)
 	c.log.Info("takeover", "token", token, "jobs", len(c.jobs), "machines", len(c.machines))
 	return c
 }
@@ -257,6 +264,10 @@
 		c.returnBack(now, ev)
 	case SaveBack:
 		c.saveBack(now, ev)
+	case AccountsIn:
+		c.accountsIn(now, ev)
+	case PagesIn:
+		c.pagesIn(now, ev)
 	}
 	c.work(now)
 	return c.out
@@ -278,6 +289,7 @@
 	if len(c.dirtyJobs) > 0 && !now.Before(c.flushAt) {
 		c.flush(now)
 	}
+	c.account(now)
 	c.commit(now)
 	c.lookUp(now)
 	if !c.listing && !now.Before(c.listAt) {
@@ -376,6 +388,7 @@
 		for _, key := range j.Parts {
 			c.saves = append(c.saves, Save{Kind: DropAwaits, Job: ev.ID, Key: key})
 		}
+		c.waited(now, j, nil)
 		c.dequeue(j)
 		c.dirty = true
 		if len(j.Link.Needs) > 0 {
@@ -475,8 +488,7 @@
 	var batch, rest []Save
 	c.lone = c.saves[first].alone()
 	if c.lone {
-		batch = append(batch, c.saves[first])
-		rest = append(append(rest, c.saves[:first]...), c.saves[first+1:]...)
+		batch, rest = c.together(first)
 	} else {
 		room := c.set.TxnOps
 		for pass := 0; pass < 2; pass++ {
@@ -513,6 +525,8 @@
 	}
 	for _, s := range ev.Saves {
 		switch s.Kind {
+		case SaveUse, FoldUse:
+			c.settled(s, ev)
 		case SaveMachine:
 			if m := c.machines[s.Machine.Machine]; m != nil && ev.Outcome == OK {
 				m.Registered = true
@@ -548,6 +562,12 @@
 		c.saves = append(c.saves, saves...)
 		return
 	}
+	switch saves[0].Kind {
+	case SaveUse:
+		c.unsettled(now, saves[0])
+	case FoldUse:
+		c.settled(saves[0], SaveBack{Outcome: Rejected})
+	}
 	if j := c.jobs[saves[0].Job]; j != nil && (saves[0].Kind == EndJob || saves[0].Kind == EndDoomed) {
 		j.Set(model.JobActive)
 		j.NotBefore = now.Add(c.set.BackoffMost)
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/glentiller/glentiller/internal/ledger"
 	"github.com/glentiller/glentiller/internal/model"
 )
 
@@ -80,6 +81,16 @@
 	SaveBack struct {
 		Saves   []Save
 		Outcome Outcome
+		Version uint64 // OK: of the records that were written
+	}
+	// AccountsIn: accounts whose settlement is in doubt, as they are on record; of
+	// those that could be read.
+	AccountsIn struct{ Accounts map[string]ledger.OnRecord }
+	// PagesIn: the oldest closed pages of a team's account, in order; none where they
+	// could not be read.
+	PagesIn struct {
+		Team  string
+		Pages []ledger.Stored
 	}
 )
 
@@ -94,6 +105,8 @@
 func (RentBack) controlEvent()    {}
 func (ReturnBack) controlEvent()  {}
 func (SaveBack) controlEvent()    {}
+func (AccountsIn) controlEvent()  {}
+func (PagesIn) controlEvent()     {}
 
 // SaveKind says what a Save writes.
 type SaveKind uint8
@@ -109,12 +122,15 @@
 	SaveLayout                      // how many tasks a numbered chunk has
 	EndDoomed                       // the job awaits a cancelled one
 	DropAwaits                      // a part of the list of what an ended job awaited
+	SaveUse                         // a settlement of a team's account
+	SaveStretch                     // a stretch of time that is not accounted
+	FoldUse                         // closed pages of an account that become one
 )
 
 // alone tells that a save has a condition of its own, so it goes alone: its failure
 // must not keep others back.
 func (s *Save) alone() bool {
-	return s.Solo || s.Kind == EndJob || s.Kind == EndDoomed || s.Kind == DropAwaits
+	return s.Solo || s.Kind == EndJob || s.Kind == EndDoomed || s.Kind == DropAwaits || s.Kind == SaveUse || s.Kind == FoldUse
 }
 
 // Save is one change of the leader's records.
@@ -130,6 +146,16 @@
 	Need    model.Resources // SaveNeed
 	Key     string          // DropAwaits
 	Solo    bool            // goes alone: it was in a transaction that was rejected
+
+	Use     *ledger.Settlement // SaveUse
+	Stretch *ledger.Stretch    // SaveStretch
+	Fold    *Fold              // FoldUse
+}
+
+// Fold makes one closed page of several.
+type Fold struct {
+	From []ledger.Stored // in order; the first one's record becomes the new page's
+	Into *ledger.Page
 }
 
 // Effect is what a leader wants done.
@@ -158,6 +184,10 @@
 	LookUp struct{ IDs []string }
 	// Commit saves records in one transaction.
 	Commit struct{ Saves []Save }
+	// ReadAccounts asks for accounts as they are on record.
+	ReadAccounts struct{ Teams []string }
+	// ReadPages asks for the oldest closed pages of a team's account.
+	ReadPages struct{ Team string }
 )
 
 func (Answer) controlEffect()  {}
@@ -168,3 +198,6 @@
 func (Catalog) controlEffect() {}
 func (LookUp) controlEffect()  {}
 func (Commit) controlEffect()  {}
+
+func (ReadAccounts) controlEffect() {}
+func (ReadPages) controlEffect()    {}
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -54,6 +54,7 @@
 	if m.Holding == 0 && now.Sub(m.LastReport) > c.set.SilentAfter {
 		m.EmptySince = now // from here on it is of use again
 	}
+	before := m.LastReport
 	m.Session, m.Seq, m.Token, m.LastReport, m.Addr = r.Session, r.Seq, r.Token, now, r.Addr
 	if r.Type != m.Type.Name || m.Type.Cap.CPU < 1e-6 {
 		m.Type = c.typeOf(r.Type)
@@ -82,6 +83,9 @@
 		case a.Phase != 0:
 			// It was there, and a newer report of the same session lacks it.
 			c.log.Warn("attempt has vanished", "task", a.Task, "try", a.Try, "machine", m.Name)
+			c.charge(now, a, before) // it was last seen then
+			c.wasted(now, a)
+			a.Charged = time.Time{}
 			c.lose(now, a)
 			delete(m.Rows, key)
 		}
@@ -164,6 +168,7 @@
 	if t.Phase == model.Exited {
 		return a
 	}
+	c.begin(now, a, t.Phase, true)
 	if j.Live[t.Task.Index] != nil || j.Task(t.Task.Index) == model.TaskDone {
 		c.log.Warn("task is not wanted here", "task", t.Task, "try", t.Try, "machine", m.Name)
 		c.stop(now, a, 0)
@@ -194,12 +199,17 @@
 		c.log.Debug("attempt runs", "task", a.Task, "machine", a.Machine.Name, "after", now.Sub(a.LaunchedAt))
 	}
 	a.Phase = t.Phase
+	c.begin(now, a, t.Phase, false)
 }
 
 // exited takes the end of an attempt.
 func (c *Core) exited(now time.Time, a *model.Attempt, t *model.TaskReport) {
 	a.Cause, a.Phase = t.Cause, model.Exited
 	c.log.Debug("attempt ended", "task", a.Task, "try", a.Try, "machine", a.Machine.Name, "why", t.Cause.String(), "saved", t.Saved)
+	c.charge(now, a, now)
+	if t.Cause != model.CauseDone && !t.Saved {
+		c.wasted(now, a)
+	}
 	j, i := a.Job, a.Task.Index
 	if j == nil || j.State == model.JobEnded {
 		c.release(now, a, model.Ended)
@@ -278,6 +288,8 @@
 // lose takes an attempt as gone without a word.
 func (c *Core) lose(now time.Time, a *model.Attempt) {
 	if a.Holds() {
+		c.charge(now, a, a.Machine.LastReport)
+		c.wasted(now, a)
 		c.release(now, a, model.Dropped)
 	} else if a.State == model.Ended {
 		a.Set(model.Dropped)
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -16,6 +16,7 @@
 	}
 	p := c.picture(now)
 	if len(p.Wants) == 0 {
+		c.waits(now, nil)
 		c.consolidate(now, p)
 		return
 	}
@@ -42,6 +43,7 @@
 			c.halt(now, v.Attempt)
 		}
 	}
+	c.waits(now, plan.Lacking)
 	c.rent(now, plan.Lacking)
 }
 
@@ -99,6 +101,7 @@
 	p := &sched.Picture{Used: make(map[string]model.Resources, len(c.use)), Leaving: make(map[string]model.Resources, len(c.use)),
 		Teams: c.teams, Zones: c.set.Zones, Nodes: make([]*sched.Node, 0, len(c.machines))}
 	c.paths(now)
+	c.shares(now)
 	guaranteed := c.guaranteed()
 	for _, j := range c.order {
 		c.wants(now, p, j, guaranteed[j])
@@ -188,7 +191,7 @@
 // victim describes an attempt that might be stopped to make room.
 func (c *Core) victim(now time.Time, a *model.Attempt, guaranteed bool) sched.Running {
 	s := a.Job.Spec
-	v := sched.Running{Attempt: a, Rank: a.Job.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang}
+	v := sched.Running{Attempt: a, Rank: a.Job.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang, Band: c.band(s.Team)}
 	if s.Checkpoint > 0 {
 		v.Save = grace(a)
 	}
@@ -253,14 +256,14 @@
 		n := j.Unfinished()
 		slack, due := c.slack(now, j, restart, 0)
 		p.Wants = append(p.Wants, &sched.Want{Job: j, From: from, Restart: restart, Count: n, Cap: n, Slack: slack, Due: due,
-			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
+			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones, Band: c.band(s.Team)})
 		return
 	}
 	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew, model.TaskYielded} {
 		if n := j.Count(st); n > 0 {
 			slack, due := c.slack(now, j, st != model.TaskNew, 0)
 			p.Wants = append(p.Wants, &sched.Want{Job: j, From: st, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack, Due: due,
-				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones})
+				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones, Band: c.band(s.Team)})
 		}
 	}
 }
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -191,7 +191,7 @@
 		t.Fatal(err)
 	}
 	v := old.Jobs.Peek(s.ID)
-	ok, err := old.State.Save(context.Background(), ver, []control.Save{{Kind: control.EndJob, Job: s.ID, Version: v.Version, Tasks: 1}})
+	_, ok, err := old.State.Save(context.Background(), ver, []control.Save{{Kind: control.EndJob, Job: s.ID, Version: v.Version, Tasks: 1}})
 	if err != nil || ok {
 		t.Errorf("a late transaction of a deposed leader was carried out (ok=%v, err=%v)", ok, err)
 	}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -10,6 +10,7 @@
 
 	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/ledger"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/rpc"
 	"github.com/glentiller/glentiller/internal/store"
@@ -410,7 +411,7 @@
 		c.later = append(c.later, c.takeOver)
 		return
 	}
-	snap, err := c.State.Records(ctx)
+	snap, err := c.State.Records(ctx, c.set.Ledger != nil)
 	if err != nil {
 		c.later = append(c.later, c.takeOver)
 		return
@@ -504,8 +505,8 @@
 	case control.LookUp:
 		back(control.EndsIn{Ends: c.Jobs.Ends(context.Background(), e.IDs)})
 	case control.Commit:
-		ok, err := c.State.Save(context.Background(), c.ver, e.Saves)
-		ev := control.SaveBack{Saves: e.Saves, Outcome: control.OK}
+		rev, ok, err := c.State.Save(context.Background(), c.ver, e.Saves)
+		ev := control.SaveBack{Saves: e.Saves, Outcome: control.OK, Version: rev}
 		switch {
 		case errors.Is(err, store.ErrRejected):
 			ev.Outcome = control.Rejected
@@ -519,6 +520,17 @@
 			}
 		}
 		back(ev)
+	case control.ReadAccounts:
+		ev := control.AccountsIn{Accounts: map[string]ledger.OnRecord{}}
+		for _, team := range e.Teams {
+			if r, err := c.State.Account(context.Background(), team); err == nil {
+				ev.Accounts[team] = r
+			}
+		}
+		back(ev)
+	case control.ReadPages:
+		pages, _, _ := c.State.Pages(context.Background(), e.Team, 0, control.OldestPages) // none: looked for again later
+		back(control.PagesIn{Team: e.Team, Pages: pages})
 	}
 }
 
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -52,6 +52,10 @@
 	Yields     bool         // was stopped to make room
 	Told       AttemptState // the state that a direct command has told the worker of
 
+	// For the ledger; zero while no message has shown it running.
+	Ran     time.Time // the first message to this leader that showed it running
+	Charged time.Time // up to here its run time is charged
+
 	// StrayLaunch: a direct launch was sent and never answered. A copy of it may
 	// still arrive, so the row must not be forgotten; docs/safety.md, "Late
 	// launches".
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
 	"github.com/glentiller/glentiller/internal/front"
+	"github.com/glentiller/glentiller/internal/ledger"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/peer"
 	"github.com/glentiller/glentiller/internal/store"
@@ -330,7 +331,7 @@
 			var snap *control.Snapshot
 			err := n.jobs.Refresh(n.ctx)
 			if err == nil {
-				snap, err = n.state.Records(n.ctx)
+				snap, err = n.state.Records(n.ctx, n.set.Ledger != nil)
 			}
 			if err == nil {
 				started := make(chan bool, 1)
@@ -461,7 +462,8 @@
 		saves := append([]control.Save(nil), e.Saves...)
 		n.spawn(func() {
 			ev := control.SaveBack{Saves: saves, Outcome: control.OK}
-			ok, err := n.state.Save(n.ctx, r.version, saves)
+			rev, ok, err := n.state.Save(n.ctx, r.version, saves)
+			ev.Version = rev
 			switch {
 			case errors.Is(err, store.ErrRejected):
 				ev.Outcome = control.Rejected
@@ -480,6 +482,26 @@
 			}
 			n.back(term, ev)
 		})
+	case control.ReadAccounts:
+		n.spawn(func() {
+			ev := control.AccountsIn{Accounts: map[string]ledger.OnRecord{}}
+			for _, team := range e.Teams {
+				if r, err := n.state.Account(n.ctx, team); err == nil {
+					ev.Accounts[team] = r
+				} else {
+					n.log.Debug("account in doubt", "team", team, "err", err)
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.ReadPages:
+		n.spawn(func() {
+			pages, _, err := n.state.Pages(n.ctx, e.Team, 0, control.OldestPages)
+			if err != nil {
+				n.log.Debug("closed pages", "team", e.Team, "err", err)
+			}
+			n.back(term, control.PagesIn{Team: e.Team, Pages: pages})
+		})
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -37,6 +37,7 @@
 	Due     bool          // its job has a date to meet
 	Slack   time.Duration // time left to it, less the estimated run time that is left
 	Gang    bool
+	Band    int // its team's band by fair share
 }
 
 // least is what stopping the attempt loses at the least: its work, or the time
@@ -70,6 +71,7 @@
 	Guaranteed bool           // the job fits into its team's guarantee
 	Zones      map[string]int // tasks that may be in each zone already
 	Cap        int            // how many may be started in this pass, by what else limits them
+	Band       int            // its team's band by fair share; it counts only beyond guarantees
 
 	at standing
 }
@@ -85,6 +87,53 @@
 	Want    *Want
 	Count   int
 	Limited bool // kept back by its team's limit
+	Why     Why
+}
+
+// Why says what keeps a want waiting.
+type Why uint8
+
+// What keeps wants waiting.
+const (
+	WhyRoom      Why = iota // no machine that fits has room
+	WhyLimit                // its team's limit
+	WhyGuarantee            // production and what other teams' guarantees cover went first
+	WhyShare                // teams below their fair share went first
+)
+
+// served is what a pass has given out so far, as far as those that wait behind it may
+// ask why.
+type served struct {
+	ahead [2]string // two teams whose guaranteed or production work was served
+	band  int       // the lowest band that was served beyond guarantees, and one
+}
+
+// note takes down that some of a want was served.
+func (s *served) note(w *Want) {
+	switch team := w.Job.Spec.Team; {
+	case w.tier() == tierRest:
+		if s.band == 0 || w.Band+1 < s.band {
+			s.band = w.Band + 1
+		}
+	case s.ahead[0] == "" || s.ahead[0] == team:
+		s.ahead[0] = team
+	default:
+		s.ahead[1] = team
+	}
+}
+
+// why tells what keeps a want waiting that found no room.
+func (s *served) why(w *Want) Why {
+	team := w.Job.Spec.Team
+	switch {
+	case w.tier() != tierRest:
+		return WhyRoom
+	case s.ahead[0] != "" && s.ahead[0] != team || s.ahead[1] != "" && s.ahead[1] != team:
+		return WhyGuarantee
+	case s.band > 0 && s.band-1 < w.Band:
+		return WhyShare
+	}
+	return WhyRoom
 }
 
 // Stop ends an attempt to make room.
@@ -130,13 +179,20 @@
 func (w *Want) tier() int {
 	switch {
 	case w.Job.Rank == model.Production:
-		return 0
+		return tierProduction
 	case w.Guaranteed:
-		return 1
+		return tierGuaranteed
 	}
-	return 2
+	return tierRest
 }
 
+// The tiers.
+const (
+	tierProduction = iota
+	tierGuaranteed
+	tierRest
+)
+
 // Urgent tells that the want is not to wait for what may become free.
 func (w *Want) Urgent() bool { return w.Job.Rank == model.Production }
 
@@ -166,14 +222,23 @@
 
 // standing is a place in the order in which work is served.
 type standing struct {
-	tier, lane    int
+	tier, band    int
+	lane          int
 	restart       bool
 	slack, waited time.Duration
 	rank          model.Rank
 }
 
 func (w *Want) standing(s *Settings) standing {
-	return standing{w.tier(), w.lane(s), w.Restart, w.Slack, w.Waited, w.Job.Rank}
+	return standing{w.tier(), beyond(w.tier(), w.Band), w.lane(s), w.Restart, w.Slack, w.Waited, w.Job.Rank}
+}
+
+// beyond is a band where it counts: only in what goes beyond guarantees.
+func beyond(tier, band int) int {
+	if tier < tierRest {
+		return 0
+	}
+	return band
 }
 
 // standing is where the tasks of an attempt's job would wait if it were stopped
@@ -192,12 +257,13 @@
 	case v.Slack < 0:
 		at.lane = laneLate
 	}
+	at.band = beyond(at.tier, v.Band)
 	return at
 }
 
 // compare is negative if a goes first.
 func (a standing) compare(b standing) int {
-	if c := cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.lane, b.lane)); c != 0 {
+	if c := cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.band, b.band), cmp.Compare(a.lane, b.lane)); c != 0 {
 		return c
 	}
 	if a.lane == laneSlack {
@@ -217,7 +283,7 @@
 	slices.SortStableFunc(wants, func(a, b *Want) int { return a.at.compare(b.at) })
 	for from := 0; from < len(wants); {
 		to := from
-		for to < len(wants) && wants[to].at.tier == wants[from].at.tier {
+		for to < len(wants) && wants[to].at.tier == wants[from].at.tier && wants[to].at.band == wants[from].at.band {
 			to++
 		}
 		overtake(wants[from:to])
@@ -351,6 +417,7 @@
 	plan := &Plan{}
 	Order(s, p.Wants)
 	stops := s.MaxPreempt
+	var done served
 	for _, w := range p.Wants {
 		spec := w.Job.Spec
 		n := min(w.Count, w.Cap)
@@ -370,12 +437,12 @@
 				// It waits to start whole: what it has already is kept for it.
 				p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(room))
 			}
-			plan.Lacking = append(plan.Lacking, Shortage{w, n, true})
+			plan.Lacking = append(plan.Lacking, Shortage{w, n, true, WhyLimit})
 			continue
 		}
 		n = min(n, room)
 		if n <= 0 {
-			plan.Lacking = append(plan.Lacking, Shortage{w, w.Count, limited})
+			plan.Lacking = append(plan.Lacking, Shortage{w, w.Count, limited, WhyLimit})
 			continue
 		}
 		lack := n
@@ -397,7 +464,10 @@
 			p.preempt(plan, w, lack, &stops, stage{})
 		}
 		if lack > 0 {
-			plan.Lacking = append(plan.Lacking, Shortage{w, lack, false})
+			plan.Lacking = append(plan.Lacking, Shortage{w, lack, false, done.why(w)})
+		}
+		if lack < n || w.tier() < tierRest {
+			done.note(w)
 		}
 	}
 	return plan
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -87,9 +87,15 @@
 	}, true)
 }
 
-// Records reads what a new leader needs besides the jobs.
-func (c *Client) Records(ctx context.Context) (*control.Snapshot, error) {
-	snap := &control.Snapshot{Done: map[string]map[model.Chunk][]byte{}}
+// Records reads what a new leader needs besides the jobs; with the teams' accounts,
+// which are as many as the teams however old the ledger is.
+func (c *Client) Records(ctx context.Context, accounts bool) (snap *control.Snapshot, err error) {
+	snap = &control.Snapshot{Done: map[string]map[model.Chunk][]byte{}}
+	if accounts {
+		if snap.Accounts, err = c.Accounts(ctx); err != nil {
+			return nil, err
+		}
+	}
 	done := snap.Done
 	for _, prefix := range []string{tasksPrefix, spanPrefix} {
 		entries, _, err := c.List(ctx, prefix)
@@ -145,8 +151,8 @@
 
 // Save carries out a leader's saves in one transaction under the condition that
 // its token is still the last one. Without an error and with ok false a
-// condition has failed.
-func (c *Client) Save(ctx context.Context, tokenVersion uint64, saves []control.Save) (ok bool, err error) {
+// condition has failed. rev is the version of all that it has written.
+func (c *Client) Save(ctx context.Context, tokenVersion uint64, saves []control.Save) (rev uint64, ok bool, err error) {
 	t := &wire.Txn{If: []wire.Cond{{Key: tokenKey, Version: tokenVersion}}}
 	for _, s := range saves {
 		key := saveKey(s)
@@ -175,10 +181,11 @@
 			// Never of an unfinished job: it may have been accepted since.
 			t.If = append(t.If, wire.Cond{Key: activePrefix + s.Job})
 			t.Then = append(t.Then, wire.Change{Key: key})
+		default:
+			useTxn(t, s)
 		}
 	}
-	_, ok, err = c.Commit(ctx, t, false)
-	return ok, err
+	return c.Commit(ctx, t, false)
 }
 
 // saveKey names the record that a save is about.
@@ -200,6 +207,12 @@
 		return endedPrefix + s.Job
 	case control.DropAwaits:
 		return s.Key
+	case control.SaveUse:
+		return accountPrefix + teamKey(s.Use.Open.Team)
+	case control.SaveStretch:
+		return stretchPrefix + number(s.Stretch.Token)
+	case control.FoldUse:
+		return pageKey(s.Fold.Into.Team, s.Fold.Into.First)
 	}
 	return ""
 }
--- /dev/null
+++ b/internal/store/ledger.go
@@ -0,0 +1,146 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net/url"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// The keys of the ledger. Versions without one skip them.
+const (
+	accountPrefix = "use/o/" // a team's account, with the page that is being written
+	pagePrefix    = "use/p/" // closed pages, by team and the number of the first hour in them
+	stretchPrefix = "use/g/" // stretches that are not accounted, by the token that ended them
+)
+
+// teamKey is a team's name as a part of a key: no spaces and slashes, and not too long.
+func teamKey(team string) string {
+	k := url.PathEscape(team)
+	if len(k) <= maxTeamKey {
+		return k
+	}
+	h := fnv.New128a()
+	_, _ = h.Write([]byte(team)) // a hash takes everything
+	return fmt.Sprintf("%s-%x", k[:maxTeamKey/2], h.Sum(nil))
+}
+
+// maxTeamKey keeps keys within 200 bytes.
+const maxTeamKey = 120
+
+// number writes a number so that keys are in its order.
+func number(n uint64) string { return fmt.Sprintf("%016d", n) }
+
+func pageKey(team string, first uint64) string {
+	return pagePrefix + teamKey(team) + "/" + number(first)
+}
+
+// useTxn adds a save of the ledger to a transaction. Each goes under a condition of its
+// own, so that no copy of it is carried out twice: docs/safety.md, "Ledger".
+func useTxn(t *wire.Txn, s control.Save) {
+	switch s.Kind {
+	case control.SaveUse:
+		o := &s.Use.Open
+		t.If = append(t.If, wire.Cond{Key: saveKey(s), Version: s.Use.Version})
+		t.Then = append(t.Then, wire.Change{Key: saveKey(s), Value: wire.AppendOpenPage(nil, o)})
+		if p := s.Use.Closed; p != nil {
+			key := pageKey(p.Team, p.First)
+			t.If = append(t.If, wire.Cond{Key: key})
+			t.Then = append(t.Then, wire.Change{Key: key, Value: wire.AppendPage(nil, p)})
+		}
+	case control.SaveStretch:
+		t.Then = append(t.Then, wire.Change{Key: saveKey(s), Value: wire.AppendStretch(nil, *s.Stretch)})
+	case control.FoldUse:
+		for i := range s.Fold.From {
+			p := &s.Fold.From[i]
+			t.If = append(t.If, wire.Cond{Key: pageKey(p.Team, p.First), Version: p.Version})
+			if i > 0 {
+				t.Then = append(t.Then, wire.Change{Key: pageKey(p.Team, p.First)})
+			}
+		}
+		t.Then = append(t.Then, wire.Change{Key: saveKey(s), Value: wire.AppendPage(nil, s.Fold.Into)})
+	}
+}
+
+// Accounts reads the accounts of all teams.
+func (c *Client) Accounts(ctx context.Context) ([]ledger.OnRecord, error) {
+	entries, _, err := c.List(ctx, accountPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]ledger.OnRecord, 0, len(entries))
+	for _, e := range entries {
+		o, err := wire.DecodeOpenPage(e.Value)
+		if err != nil {
+			return nil, fmt.Errorf("unreadable record %s: %w", e.Key, err)
+		}
+		out = append(out, ledger.OnRecord{Open: o, Version: e.Version})
+	}
+	return out, nil
+}
+
+// Account reads a team's account; without one its version is 0.
+func (c *Client) Account(ctx context.Context, team string) (ledger.OnRecord, error) {
+	e, ok, err := c.Get(ctx, accountPrefix+teamKey(team))
+	if err != nil || !ok {
+		return ledger.OnRecord{}, err
+	}
+	o, err := wire.DecodeOpenPage(e.Value)
+	return ledger.OnRecord{Open: o, Version: e.Version}, err
+}
+
+// Pages reads some closed pages of a team behind the one that begins with a number, in
+// order, in one request. more tells that there are others behind them.
+func (c *Client) Pages(ctx context.Context, team string, after uint64, most int) (pages []ledger.Stored, more bool, err error) {
+	p, err := c.page(ctx, pagePrefix+teamKey(team)+"/", pageKey(team, after), most)
+	if err != nil {
+		return nil, false, err
+	}
+	for _, e := range p.Entries {
+		page, err := wire.DecodeClosedPage(e.Value)
+		if err != nil {
+			return nil, false, fmt.Errorf("unreadable record %s: %w", e.Key, err)
+		}
+		pages = append(pages, ledger.Stored{Page: page, Version: e.Version})
+	}
+	return pages, p.More, nil
+}
+
+// Stretches reads some stretches that are not accounted, behind the one with a token.
+func (c *Client) Stretches(ctx context.Context, after uint64, most int) (list []ledger.Stretch, more bool, err error) {
+	p, err := c.page(ctx, stretchPrefix, stretchPrefix+number(after), most)
+	if err != nil {
+		return nil, false, err
+	}
+	for _, e := range p.Entries {
+		s, err := wire.DecodeStretch(e.Value)
+		if err != nil {
+			return nil, false, fmt.Errorf("unreadable record %s: %w", e.Key, err)
+		}
+		list = append(list, s)
+	}
+	return list, p.More, nil
+}
+
+// page reads one page of keys.
+func (c *Client) page(ctx context.Context, prefix, after string, most int) (wire.Page, error) {
+	if err := c.budget(ctx, 0); err != nil {
+		return wire.Page{}, err
+	}
+	uri := "/keys?prefix=" + url.QueryEscape(prefix) + "&page=" + strconv.Itoa(most)
+	if after != "" {
+		uri += "&after=" + url.QueryEscape(after)
+	}
+	out, err := c.call(fasthttp.MethodGet, uri, nil)
+	if err != nil {
+		return wire.Page{}, err
+	}
+	return wire.DecodePage(out)
+}
--- a/internal/store/limits_test.go
+++ b/internal/store/limits_test.go
@@ -50,7 +50,7 @@
 		"a part of a list":    {{Kind: control.DropAwaits, Job: "wk-000001", Key: "job/w/wk-000001/ffffffffffffffff/13"}},
 		"the end of a job":    {{Kind: control.EndJob, Job: id, Version: 3, Tasks: 100_000, At: time.Unix(4e9, 0)}},
 	} {
-		if ok, err := c.Save(context.Background(), token, saves); err != nil || !ok {
+		if _, ok, err := c.Save(context.Background(), token, saves); err != nil || !ok {
 			t.Errorf("%s: %v, %v", name, ok, err)
 		}
 		if len(store.Keys(saves)) != len(saves) || strings.Contains(fmt.Sprint(store.Keys(saves)), " ]") {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -122,18 +122,7 @@
 	var rev uint64
 	after := ""
 	for {
-		if err := c.budget(ctx, 0); err != nil {
-			return nil, 0, err
-		}
-		uri := "/keys?prefix=" + url.QueryEscape(prefix) + "&page=1000"
-		if after != "" {
-			uri += "&after=" + url.QueryEscape(after)
-		}
-		out, err := c.call(fasthttp.MethodGet, uri, nil)
-		if err != nil {
-			return nil, 0, err
-		}
-		p, err := wire.DecodePage(out)
+		p, err := c.page(ctx, prefix, after, 1000)
 		if err != nil {
 			return nil, 0, err
 		}
