Ledger and fair share: the operators' interface, commands, documents

Need: people read who used what, why who waited and where a team stands, from any controller, without slowing the leader.

Change: internal/admin, a listener of its own with a bearer token, off by default; reads pages within 2% of the state service's requests, notices pages that are folded or closed while it reads, verifies the chain. glentiller ledger, ledger verify and shares on top of it. Settlements cost a leader less: waiting is looked over four times a second, accounts in doubt are counted.

--- a/cmd/glentiller/main.go
+++ b/cmd/glentiller/main.go
@@ -101,6 +101,9 @@
 		Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller."`
 		Check   checkCmd   `cmd:"" help:"Check the settings."`
 		Version versionCmd `cmd:"" help:"Print the version."`
+
+		Ledger ledgerCmd `cmd:"" help:"Who used what, and why who waited."`
+		Shares sharesCmd `cmd:"" help:"The teams' standings by fair share."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("glentiller"), kong.Description("A cluster scheduler's controller."), kong.UsageOnError())
 	if err := ctx.Run(); err != nil {
--- /dev/null
+++ b/internal/admin/api.go
@@ -0,0 +1,111 @@
+// Package admin is the operators' interface: JSON over HTTP on a listener of its own,
+// off by default, with a bearer token. Reads are answered by any controller from the
+// state service's records. docs/operators.md lists the paths.
+package admin
+
+import (
+	"time"
+
+	"github.com/glentiller/glentiller/internal/ledger"
+)
+
+// The paths.
+const (
+	LedgerPath    = "/v1/ledger"
+	VerifyPath    = "/v1/ledger/verify"
+	StretchesPath = "/v1/ledger/stretches"
+	SharesPath    = "/v1/shares"
+)
+
+// Amounts are what was used and waited for, in integers.
+type Amounts struct {
+	CPU       uint64            `json:"cpu_us"`      // CPU-microseconds
+	GPU       uint64            `json:"gpu_us"`      // GPU-microseconds
+	Mem       uint64            `json:"gb_us"`       // GB-microseconds
+	Lost      uint64            `json:"lost_cpu_us"` // of CPU: runs that neither completed nor saved
+	Starts    uint64            `json:"starts"`
+	TakenOver uint64            `json:"taken_over"` // attempts that a new leader found running
+	Wait      map[string]uint64 `json:"wait_ms"`    // task-milliseconds by cause
+}
+
+// AmountsOf writes an amount out.
+func AmountsOf(u ledger.Use) Amounts {
+	a := Amounts{u.CPU, u.GPU, u.Mem, u.Lost, u.Starts, u.TakenOver, map[string]uint64{}}
+	for c, ms := range u.Wait {
+		if ms > 0 {
+			a.Wait[ledger.Cause(c).String()] = ms
+		}
+	}
+	return a
+}
+
+// Use reads an amount back. Causes that this version does not know are left out.
+func (a Amounts) Use() ledger.Use {
+	u := ledger.Use{CPU: a.CPU, GPU: a.GPU, Mem: a.Mem, Lost: a.Lost, Starts: a.Starts, TakenOver: a.TakenOver}
+	for c := range u.Wait {
+		u.Wait[c] = a.Wait[ledger.Cause(c).String()]
+	}
+	return u
+}
+
+// Row is what one class of a team used in the time of a page.
+type Row struct {
+	Team  string    `json:"team"`
+	Class string    `json:"class"`
+	From  time.Time `json:"from"` // the beginning of the hour, day or month
+	Unit  string    `json:"unit"` // "hour", "day" or "month"
+	Amounts
+}
+
+// Rows is one page of an answer.
+type Rows struct {
+	Rows []Row  `json:"rows"`
+	Next string `json:"next,omitempty"` // the cursor of the next one; empty: this is the last
+}
+
+// Stretch is a time that no leader accounted for.
+type Stretch struct {
+	From    time.Time `json:"from"`
+	To      time.Time `json:"to"`
+	Token   uint64    `json:"token"`
+	Without uint64    `json:"leaders_without_ledger"`
+}
+
+// Stretches is one page of an answer.
+type Stretches struct {
+	Stretches []Stretch `json:"stretches"`
+	Next      string    `json:"next,omitempty"`
+}
+
+// Share is a team's standing by fair share.
+type Share struct {
+	Place   int       `json:"place"`
+	Team    string    `json:"team"`
+	Weight  float64   `json:"weight"`         // its part of all weights
+	Decayed uint64    `json:"decayed_cpu_us"` // CPU-microseconds by the weights
+	Part    float64   `json:"part"`           // its part of all decayed use
+	Factor  float64   `json:"factor"`
+	Band    int       `json:"band"`
+	At      time.Time `json:"settled_at"`
+}
+
+// Shares tells the standings of all teams.
+type Shares struct {
+	Orders   bool    `json:"orders"` // fair share is on: bands order what goes beyond guarantees
+	HalfLife float64 `json:"half_life_s"`
+	Teams    []Share `json:"teams"`
+}
+
+// Verified is what became of checking one team's pages.
+type Verified struct {
+	Team    string `json:"team"`
+	Pages   int    `json:"pages"`
+	Through uint64 `json:"through"` // the last number that holds
+	Problem string `json:"problem,omitempty"`
+	Next    string `json:"next,omitempty"` // the next team's cursor
+}
+
+// Problem is the body of every answer that is not 200.
+type Problem struct {
+	Error string `json:"error"`
+}
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/glentiller/glentiller/internal/admin"
 	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
 	"github.com/glentiller/glentiller/internal/fleet"
@@ -74,6 +75,19 @@
 	return l
 }
 
+// AdminServer puts together what the operators' interface works by.
+func AdminServer(p *Platform, o *Operator) admin.Settings {
+	s := admin.Settings{Token: o.Admin.Token, Orders: o.FairShare != nil, Rate: max(adminPart*p.StateLimits().RPS, 1)}
+	if l := Accounting(p, o); l != nil {
+		s.Ledger, s.Half, s.Weights, s.Seal = true, l.Half, l.Weights, l.Seal
+	}
+	return s
+}
+
+// adminPart is the part of the state service's requests that operators' reading takes at
+// most, of the share that a controller has anyway.
+const adminPart = 0.02
+
 const (
 	changesPart = 0.02     // of the changes that the state service takes, for settlements
 	mostPage    = 12 << 10 // of a page: two of them go into one transaction
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -66,6 +66,7 @@
 type Admin struct {
 	Listen    string `xml:"listen"`
 	TokenFile string `xml:"token-file"`
+	Token     []byte `xml:"-"` // what the file holds
 	strict
 }
 
@@ -213,6 +214,9 @@
 	if err == nil && o.Ledger != nil && o.Ledger.KeyFile != "" {
 		o.Ledger.Key, err = ReadSecret(o.Ledger.KeyFile)
 	}
+	if err == nil && o.Admin != nil {
+		o.Admin.Token, err = ReadSecret(o.Admin.TokenFile)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/control/accounting.go
+++ b/internal/control/accounting.go
@@ -25,6 +25,7 @@
 	set     *Ledger
 	book    *ledger.Book
 	waits   map[*model.Job]wait
+	waitsAt time.Time // waiting is not looked over before this
 	bands   map[string]int
 	bandsAt time.Time
 
@@ -111,12 +112,13 @@
 	a.Ran = a.Charged
 }
 
-// waits charges what waited since the last pass to the causes of that time, and notes
+// waits charges what waited since the last look to the causes of that time, and notes
 // what keeps each job waiting from now on.
 func (c *Core) waits(now time.Time, lacking []sched.Shortage) {
-	if c.acc == nil {
+	if c.acc == nil || now.Before(c.acc.waitsAt) {
 		return
 	}
+	c.acc.waitsAt = now.Add(waitsEvery)
 	why := make(map[*model.Job]sched.Why, len(lacking))
 	for _, l := range lacking {
 		if _, ok := why[l.Want.Job]; !ok {
@@ -132,6 +134,9 @@
 	}
 }
 
+// waitsEvery is how fine waiting is told apart: passes come up to twenty times a second.
+const waitsEvery = 250 * time.Millisecond
+
 // cause tells what keeps a job's tasks waiting.
 func (c *Core) cause(now time.Time, j *model.Job, why map[*model.Job]sched.Why) ledger.Cause {
 	reason, lacks := why[j]
@@ -304,6 +309,7 @@
 		}
 	case ev.Outcome == OK:
 		acc.book.Settled(s.Use.Open.Team, ev.Version)
+		c.log.Debug("ledger settled", "team", s.Use.Open.Team, "settled", s.Use.Open.Settled, "with_end", len(ev.Saves) > 1, "closed", s.Use.Closed != nil)
 		if s.Use.Closed != nil {
 			c.log.Info("ledger page closed", "team", s.Use.Open.Team, "page", s.Use.Closed.First, "hour", s.Use.Closed.From, "sum", s.Use.Closed.Sum)
 			acc.toFold[s.Use.Open.Team] = true
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -89,6 +89,7 @@
 	start time.Time
 	teams map[string]*Account
 	due   time.Time // when accounts are looked through next
+	doubt int       // accounts in doubt
 }
 
 // NewBook opens the book of a leader that has just taken over, from the records.
@@ -153,7 +154,7 @@
 }
 
 // dueParts of the time between settlements pass between looks at what is due.
-const dueParts = 4
+const dueParts = 2
 
 // decayParts of a half-life pass at most before decay is written down.
 const decayParts = 16
@@ -263,13 +264,16 @@
 // Refused notes that a settlement's condition did not hold: an earlier copy of it was
 // carried out, or the record is not what this leader thinks. It has to be read.
 func (b *Book) Refused(team string) {
-	if a := b.teams[team]; a != nil && a.next != nil {
-		a.set(Doubted)
+	if a := b.teams[team]; a != nil && a.next != nil && a.state != Doubted && a.set(Doubted) {
+		b.doubt++
 	}
 }
 
 // Doubts lists the teams whose records have to be read.
 func (b *Book) Doubts() []string {
+	if b.doubt == 0 {
+		return nil // the rule
+	}
 	var out []string
 	for team, a := range b.teams {
 		if a.state == Doubted {
@@ -292,8 +296,10 @@
 	}
 	switch {
 	case r.Open.Token == b.token && r.Open.Settled == a.next.Open.Settled:
+		b.doubt--
 		b.Settled(team, r.Version)
 	case r.Open.Settled == a.next.Open.Settled-1:
+		b.doubt--
 		s := *a.next
 		s.Version = r.Version
 		a.next, a.version = &s, r.Version
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/glentiller/glentiller/internal/admin"
 	"github.com/glentiller/glentiller/internal/cloud"
 	"github.com/glentiller/glentiller/internal/config"
 	"github.com/glentiller/glentiller/internal/control"
@@ -144,6 +145,9 @@
 		<-n.ctx.Done()
 		return errors.Join(l.Close(), back.Close(), n.front.Shutdown())
 	})
+	if err := n.serveAdmin(); err != nil {
+		return errors.Join(err, l.Close(), back.Close())
+	}
 	n.group.Go(func() error { return peer.Serve(n.ctx, back, relayed{n}) })
 	n.group.Go(func() error { return n.tellProgress() })
 	n.group.Go(func() error { return n.loop() })
@@ -158,6 +162,30 @@
 	return err
 }
 
+// serveAdmin opens the operators' interface, if it is turned on.
+func (n *Node) serveAdmin() error {
+	if n.oper.Admin == nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", n.oper.Admin.Listen)
+	if err != nil {
+		return err
+	}
+	s := admin.New(config.AdminServer(n.plat, n.oper), n.state, n.log)
+	n.log.Info("operators' interface", "listen", l.Addr().String())
+	n.group.Go(func() error {
+		if err := s.Serve(l); err != nil {
+			return err
+		}
+		return n.ctx.Err()
+	})
+	n.group.Go(func() error {
+		<-n.ctx.Done()
+		return errors.Join(l.Close(), s.Shutdown())
+	})
+	return nil
+}
+
 // loop owns the cores.
 func (n *Node) loop() error {
 	timer := time.NewTimer(0)
