--- a/cmd/glentiller/main.go
+++ b/cmd/glentiller/main.go
@@ -104,6 +104,9 @@
 
 		Ledger ledgerCmd `cmd:"" help:"Who used what, and why who waited."`
 		Shares sharesCmd `cmd:"" help:"The teams' standings by fair share."`
+
+		Explain     explainCmd     `cmd:"" help:"Why a job's tasks wait, and why the others are where they are."`
+		Constraints constraintsCmd `cmd:"" help:"Rules of submissions."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("glentiller"), kong.Description("A cluster scheduler's controller."), kong.UsageOnError())
 	if err := ctx.Run(); err != nil {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/wire"
 )
 
 var (
@@ -67,6 +68,23 @@
 	return []ledger.Stretch{{From: noon, To: noon.Add(time.Minute), Token: 4, Without: 1}}, false, b.read()
 }
 
+// picture stands in for the leader.
+type picture struct{}
+
+func (picture) Explain(_ context.Context, id string) ([]byte, error) {
+	if id == "wk-000001" {
+		return []byte(`{"job":"wk-000001","why":["it awaits [wk-000002]"]}`), nil
+	}
+	return nil, nil
+}
+
+func (picture) State(_ context.Context, id string) (wire.JobState, error) {
+	if id == "wk-000002" {
+		return wire.StateDone, nil
+	}
+	return wire.StateUnknown, nil
+}
+
 // month keeps accounts of some teams for some hours.
 func month(hours int, teams ...string) (*books, ledger.Settings) {
 	set := ledger.Settings{Settle: time.Second, Half: time.Hour, Most: 4096, Keep: ledger.Retention{Hours: 48 * time.Hour, Days: 240 * time.Hour}, Seal: ledger.NewSeal(nil)}
@@ -94,7 +112,7 @@
 // served is a client of a server over these records.
 func served(t *testing.T, b *books, set ledger.Settings) *Client {
 	t.Helper()
-	s := New(Settings{Token: secret, Ledger: true, Half: set.Half, Weights: map[string]float64{"red": 1, "blue": 1}, Seal: set.Seal, Rate: 1e6}, b, quietLog)
+	s := New(Settings{Token: secret, Ledger: true, Half: set.Half, Weights: map[string]float64{"red": 1, "blue": 1}, Seal: set.Seal, Rate: 1e6}, b, picture{}, quietLog)
 	l := fasthttputil.NewInmemoryListener()
 	go func() { _ = s.Serve(l) }() // ends with the listener
 	t.Cleanup(func() { _ = l.Close() })
@@ -162,6 +180,14 @@
 	if err := c.get("/v1/none", nil, &Rows{}); err == nil || !strings.Contains(err.Error(), "no such path") {
 		t.Errorf("an unknown path: %v", err)
 	}
+	if e, err := c.Explain("wk-000001"); err != nil || len(e.Why) != 1 {
+		t.Errorf("explain: %+v, %v", e, err)
+	}
+	for id, want := range map[string]string{"wk-000002": "is over: done", "wk-000003": "ever accepted", "wk-1": "not the id"} {
+		if _, err := c.Explain(id); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("explain %s: %v", id, err)
+		}
+	}
 	b.down = 1 // asked again after a moment
 	if s, err := c.Shares(); err != nil || len(s.Teams) != 2 || s.Teams[0].Factor != 1 {
 		t.Errorf("after an outage: %+v, %v", s, err)
@@ -170,7 +196,7 @@
 	if _, err := c.Shares(); err == nil || !strings.Contains(err.Error(), "token") {
 		t.Errorf("without the token: %v", err)
 	}
-	s := New(Settings{Token: secret, Rate: 1}, b, quietLog)
+	s := New(Settings{Token: secret, Rate: 1}, b, picture{}, quietLog)
 	var ctx fasthttp.RequestCtx
 	ctx.Request.SetRequestURI(SharesPath)
 	ctx.Request.Header.Set("Authorization", "Bearer "+string(secret))
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -15,6 +15,8 @@
 	VerifyPath    = "/v1/ledger/verify"
 	StretchesPath = "/v1/ledger/stretches"
 	SharesPath    = "/v1/shares"
+	JobsPath      = "/v1/jobs/" // and the id, and explainEnd
+	explainEnd    = "/explain"
 )
 
 // Amounts are what was used and waited for, in integers.
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/glentiller/glentiller/internal/control"
 )
 
 // Client asks a controller's operators' interface.
@@ -82,6 +84,12 @@
 	return nil, errMoved
 }
 
+// Explain has the leader say why a job's tasks wait.
+func (c *Client) Explain(id string) (*control.Explanation, error) {
+	e := &control.Explanation{}
+	return e, c.get(JobsPath+id+explainEnd, nil, e)
+}
+
 // Verify checks all teams' pages.
 func (c *Client) Verify() ([]Verified, error) {
 	var out []Verified
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/wire"
 )
 
 // Records is what the interface reads of the state service.
@@ -26,6 +27,14 @@
 	Stretches(ctx context.Context, after uint64, most int) (list []ledger.Stretch, more bool, err error)
 }
 
+// Leader is what the interface asks of the leader's picture, and of the job records.
+type Leader interface {
+	// Explain says why a job's tasks wait, as JSON; empty: it is not unfinished.
+	Explain(ctx context.Context, id string) ([]byte, error)
+	// State tells how a job stands.
+	State(ctx context.Context, id string) (wire.JobState, error)
+}
+
 // Settings are the interface's.
 type Settings struct {
 	Token   []byte
@@ -41,14 +50,15 @@
 type Server struct {
 	set     Settings
 	records Records
+	leader  Leader
 	log     *slog.Logger
 	pace    *rate.Limiter
 	httpSrv *fasthttp.Server
 }
 
 // New makes a server.
-func New(set Settings, records Records, log *slog.Logger) *Server {
-	s := &Server{set: set, records: records, log: log, pace: rate.NewLimiter(rate.Limit(set.Rate), 4)}
+func New(set Settings, records Records, leader Leader, log *slog.Logger) *Server {
+	s := &Server{set: set, records: records, leader: leader, log: log, pace: rate.NewLimiter(rate.Limit(set.Rate), 4)}
 	s.httpSrv = &fasthttp.Server{Handler: s.Handle, Name: "glentiller", NoDefaultServerHeader: true, MaxRequestBodySize: 4096, ReadBufferSize: 4096,
 		Concurrency: maxConns, IdleTimeout: time.Minute, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, ReduceMemoryUsage: true,
 		CloseOnShutdown: true, Logger: quiet{}}
@@ -127,6 +137,9 @@
 }
 
 func (s *Server) answer(ctx context.Context, path string, q *fasthttp.Args) (any, error) {
+	if id, ok := strings.CutPrefix(path, JobsPath); ok && strings.HasSuffix(id, explainEnd) {
+		return s.explain(ctx, strings.TrimSuffix(id, explainEnd))
+	}
 	known := map[string][]string{LedgerPath: {"team", "class", "from", "to", "cursor"}, VerifyPath: {"cursor"}, StretchesPath: {"cursor"}, SharesPath: nil}
 	names, ok := known[path]
 	if !ok {
@@ -151,6 +164,30 @@
 	return s.shares(ctx)
 }
 
+// explain has the leader say why a job's tasks wait.
+func (s *Server) explain(ctx context.Context, id string) (any, error) {
+	if !wire.JobIDValid(id) {
+		return nil, fmt.Errorf("%w: %q is not the id of a job", errBad, id)
+	}
+	if err := s.wait(ctx); err != nil {
+		return nil, err
+	}
+	body, err := s.leader.Explain(ctx, id)
+	if err != nil || len(body) > 0 {
+		return json.RawMessage(body), err
+	}
+	state, err := s.leader.State(ctx, id)
+	switch {
+	case err != nil:
+		return nil, err
+	case state == wire.StateUnknown:
+		return nil, fmt.Errorf("%w: no job %s was ever accepted", errNone, id)
+	case state.Ended():
+		return nil, fmt.Errorf("%w: job %s is over: %s", errNone, id, state)
+	}
+	return nil, errors.New("the leader has not heard of the job yet")
+}
+
 // wait keeps the interface's reading within its pace, so that it slows nobody.
 func (s *Server) wait(ctx context.Context) error { return s.pace.Wait(ctx) }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -56,9 +56,10 @@
 	Front      Front      `xml:"front"`
 
 	// What is off unless its element is there.
-	Admin     *Admin     `xml:"admin"`
-	Ledger    *Ledger    `xml:"ledger"`
-	FairShare *FairShare `xml:"fair-share"`
+	Admin       *Admin       `xml:"admin"`
+	Ledger      *Ledger      `xml:"ledger"`
+	FairShare   *FairShare   `xml:"fair-share"`
+	Constraints *Constraints `xml:"constraints"`
 	strict
 }
 
@@ -89,6 +90,9 @@
 	strict
 }
 
+// Constraints has submissions' rules read. There is nothing to set.
+type Constraints struct{ strict }
+
 // Weight is a team's part, beside those of the others.
 type Weight struct {
 	Team  string  `xml:"team,attr"`
@@ -271,6 +275,9 @@
 		part("ledger", &l.strict, between("ledger/settle", l.Settle, time.Second, 10*time.Minute),
 			between("ledger/keep-hours", l.KeepHours, 2*time.Hour, 10*366*day), between("ledger/keep-days", l.KeepDays, l.KeepHours.D()+2*day, 100*366*day))
 	}
+	if c := o.Constraints; c != nil {
+		part("constraints", &c.strict)
+	}
 	if f := o.FairShare; f != nil {
 		part("fair-share", &f.strict, between("fair-share/half-life", f.HalfLife, time.Minute, 366*day))
 		if o.Ledger == nil {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -128,6 +128,9 @@
 
 	acc *accounts // nil: no ledger is kept
 
+	ruled   map[*model.Job]*ruled // the unfinished jobs that have rules
+	classes classes
+
 	out []Effect
 }
 
@@ -137,7 +140,7 @@
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, graph: model.NewGraph(), times: map[string][]float64{}, machines: map[string]*model.Machine{},
 		gone: map[string]time.Time{}, use: map[string]*model.Usage{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
-		dirtyJobs: map[string]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
+		dirtyJobs: map[string]bool{}, ruled: map[*model.Job]*ruled{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt: now.Add(set.SilentAfter)}
 	for i := range set.Teams {
 		c.teams[set.Teams[i].Name] = &set.Teams[i]
@@ -350,6 +353,7 @@
 	j := model.NewJob(ev.Spec, ev.At, ev.Version)
 	j.Parts = ev.Parts
 	c.jobs[ev.Spec.ID] = j
+	c.addRules(j)
 	j.Link = c.graph.Add(ev.Spec.ID, ev.Spec.Awaits, ev.At)
 	c.enqueue(j)
 	if len(ev.Spec.Awaits) > 0 {
@@ -378,6 +382,7 @@
 		c.log.Info("job ended", "id", ev.ID, "done", j.Count(model.TaskDone), "live", len(j.Live), "feeds", len(j.Link.Feeds))
 		j.Set(model.JobEnded)
 		delete(c.jobs, ev.ID)
+		delete(c.ruled, j)
 		delete(c.dirtyJobs, ev.ID)
 		for _, a := range j.Live {
 			c.stop(now, a, 0)
--- /dev/null
+++ b/internal/control/explain.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/constraint"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/sched"
+)
+
+// Explanation says why a job's tasks wait, and why those that run are where they are.
+type Explanation struct {
+	Job      string   `json:"job"`
+	Class    string   `json:"class"`
+	Team     string   `json:"team"`
+	Rank     string   `json:"rank"`
+	Rules    []string `json:"rules,omitempty"`
+	Tasks    int      `json:"tasks"`
+	Done     int      `json:"done"`
+	On       int      `json:"on_machines"`
+	Waiting  int      `json:"waiting"`
+	Why      []string `json:"why,omitempty"`      // in words, what keeps its tasks waiting
+	Machines []Ruled  `json:"machines,omitempty"` // how many machines do not take one more task, and why
+	Coming   []string `json:"coming,omitempty"`   // what is being rented or boots that could take it
+	Change   []string `json:"change,omitempty"`   // what would have to change
+	Placed   []Placed `json:"placed,omitempty"`   // at most mostPlaced
+}
+
+// Ruled counts machines that do not take a task for the same reason.
+type Ruled struct {
+	Why   string `json:"why"`
+	Count int    `json:"count"`
+}
+
+// Placed says why a task is on its machine.
+type Placed struct {
+	Task    int    `json:"task"`
+	Machine string `json:"machine"`
+	Class   string `json:"class"`
+	Why     string `json:"why"`
+}
+
+// mostPlaced bounds an explanation of a large array.
+const mostPlaced = 20
+
+// Explain says why a job's tasks wait. It plays a pass without carrying it out and asks
+// the functions that decide, so it says what the next pass would find; nil: the job is
+// not among the unfinished ones.
+func (c *Core) Explain(now time.Time, id string) *Explanation {
+	j := c.jobs[id]
+	if j == nil {
+		return nil
+	}
+	s := j.Spec
+	e := &Explanation{Job: id, Class: s.Class, Team: s.Team, Rank: j.Rank.String(), Tasks: s.Tasks, Done: j.Count(model.TaskDone), On: len(j.Live), Waiting: j.Waiting()}
+	r := c.ruled[j]
+	if r != nil && r.set != nil {
+		e.Rules = r.set.Lines()
+	}
+	for _, i := range slices.Sorted(maps.Keys(j.Live)) {
+		if len(e.Placed) < mostPlaced {
+			e.Placed = append(e.Placed, placed(j.Live[i]))
+		}
+	}
+	say := func(list *[]string, format string, args ...any) { *list = append(*list, fmt.Sprintf(format, args...)) }
+	switch {
+	case e.Waiting == 0:
+	case j.State != model.JobActive:
+		say(&e.Why, "its end is being written")
+	case j.Link.State == model.LinkWaiting:
+		say(&e.Why, "it awaits %v", slices.Sorted(maps.Keys(j.Link.Needs)))
+		say(&e.Change, "those jobs have to be done")
+	case j.Link.State == model.LinkDoomed:
+		say(&e.Why, "it awaits %s, which is cancelled", j.Link.By)
+	case r != nil && r.set == nil:
+		say(&e.Why, "its rules cannot be read by this version: %v", r.err)
+		say(&e.Change, "a version that reads them has to lead, or it has to be cancelled")
+	case now.Before(j.NotBefore):
+		say(&e.Why, "its tasks failed or were refused; they are tried again in %v", j.NotBefore.Sub(now).Round(time.Second))
+	case c.unsure > 0 && j.Version <= c.rev && !j.Fresh:
+		say(&e.Why, "the new leader does not know yet what runs on %d machines, and a task of it might", c.unsure)
+	case s.Shape == model.Gang && len(j.Live) > 0:
+		say(&e.Why, "%d tasks of the attempt before are not gone yet", len(j.Live))
+	default:
+		c.explainWaiting(now, j, e, say)
+	}
+	return e
+}
+
+// explainWaiting plays a pass and says what it finds.
+func (c *Core) explainWaiting(now time.Time, j *model.Job, e *Explanation, say func(list *[]string, format string, args ...any)) {
+	s := j.Spec
+	p := c.picture(now)
+	i := slices.IndexFunc(p.Wants, func(w *sched.Want) bool { return w.Job == j })
+	if i < 0 {
+		return
+	}
+	w := p.Wants[i]
+	ahead := 0
+	plan := sched.Make(&c.set.Sched, p) // of a picture of its own: nothing is done
+	for _, o := range p.Wants {
+		if o == w {
+			break
+		}
+		ahead++
+	}
+	n := 0
+	for _, pl := range plan.Place {
+		if pl.Want.Job == j {
+			n++
+		}
+	}
+	if n > 0 {
+		say(&e.Why, "%d tasks are placed with the next pass", n)
+	}
+	if k := slices.IndexFunc(plan.Lacking, func(l sched.Shortage) bool { return l.Want.Job == j }); k >= 0 {
+		team, use := c.teams[s.Team], p.Used[s.Team]
+		switch l := plan.Lacking[k]; l.Why {
+		case sched.WhyLimit:
+			say(&e.Why, "team %s is at its limit: %g of %g CPUs and %g of %g GPUs are in use", s.Team, use.CPU, team.Limit.CPU, use.GPU, team.Limit.GPU)
+			say(&e.Change, "tasks of the team have to end, or its limit has to be raised")
+		case sched.WhyGuarantee:
+			say(&e.Why, "production and what other teams' guarantees cover goes first")
+		case sched.WhyShare:
+			say(&e.Why, "teams that have used less of their share go first (band %d)", w.Band)
+		case sched.WhyRoom:
+			say(&e.Why, "no machine that fits has room for %d tasks", l.Count)
+		}
+	} else if n < e.Waiting {
+		say(&e.Why, "team %s has room for no more of its tasks under its limit", s.Team)
+		say(&e.Change, "tasks of the team have to end, or its limit has to be raised")
+	}
+	if ahead > 0 {
+		say(&e.Why, "%d others stand before it in the order", ahead)
+	}
+	c.judgeMachines(now, j, w, p, e)
+	c.explainComing(now, j, w, e, say)
+	r := c.ruled[j]
+	set := &constraint.Set{}
+	if r != nil {
+		set = r.set
+	}
+	if err := constraint.Check(set, s, constraint.World{Types: c.types, Zones: func(string) ([]string, bool) { return nil, false }}); err != nil && len(c.types) > 0 {
+		say(&e.Change, "nothing in the catalogue takes it now: %v", err)
+	}
+}
+
+// judgeMachines counts why machines do not take one more task.
+func (c *Core) judgeMachines(now time.Time, j *model.Job, w *sched.Want, p *sched.Picture, e *Explanation) {
+	counts := map[string]int{}
+	for _, m := range c.machines {
+		if why := c.unplaceable(now, m); why != "" {
+			counts[why]++
+		}
+	}
+	for _, nd := range p.Nodes {
+		why := nd.Judge(w, "")
+		text := why.String()
+		if why == sched.ByRules {
+			m := nd.Machine
+			if by, ok := c.ruled[j].set.Allows(constraint.Class{Type: m.Type, Zone: m.Zone, Spot: m.Spot}); !ok {
+				text = "refused by " + by.String()
+			}
+		}
+		if why == sched.Fits {
+			text = "would take one"
+		}
+		counts[text]++
+	}
+	for why, n := range counts {
+		e.Machines = append(e.Machines, Ruled{why, n})
+	}
+	slices.SortFunc(e.Machines, func(a, b Ruled) int { return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Why, b.Why)) })
+}
+
+// explainComing tells what is rented or boots that could take a task, and what the cloud
+// has refused.
+func (c *Core) explainComing(now time.Time, j *model.Job, w *sched.Want, e *Explanation, say func(list *[]string, format string, args ...any)) {
+	s := j.Spec
+	useful := func(t *model.MachineType, zone string, spot bool) bool {
+		return s.Need.Fits(t.Cap) && s.AllowsType(t.Name) && (s.Zone == "" || s.Zone == zone) && (s.Spot || !spot) && w.Rules.Offer(t, zone, spot) &&
+			(s.Need.GPU > 0 || !c.forGPU(t, spot))
+	}
+	coming := map[string]int{}
+	for _, m := range c.machines {
+		if m.State == model.Booting && useful(m.Type, m.Zone, m.Spot) {
+			coming["booting "+constraint.Class{Type: m.Type, Zone: m.Zone, Spot: m.Spot}.String()]++
+		}
+	}
+	for _, r := range c.renting {
+		if t := c.typeOf(r.Type); useful(t, r.Zone, r.Spot) {
+			coming["asked for "+constraint.Class{Type: t, Zone: r.Zone, Spot: r.Spot}.String()] += r.Count
+		}
+	}
+	for what, n := range coming {
+		e.Coming = append(e.Coming, fmt.Sprintf("%d %s", n, what))
+	}
+	slices.Sort(e.Coming)
+	var refused []string
+	for o, until := range c.refused {
+		if t := c.typeOf(o.Type); now.Before(until) && useful(t, o.Zone, o.Spot) {
+			refused = append(refused, constraint.Class{Type: t, Zone: o.Zone, Spot: o.Spot}.String())
+		}
+	}
+	if len(refused) > 0 {
+		slices.Sort(refused)
+		say(&e.Why, "the cloud has just refused %v; it is asked again soon", refused)
+	}
+}
+
+// placed says why an attempt is on its machine.
+func placed(a *model.Attempt) Placed {
+	m := a.Machine
+	p := Placed{Task: a.Task.Index, Machine: m.Name, Class: constraint.Class{Type: m.Type, Zone: m.Zone, Spot: m.Spot}.String()}
+	switch ch := a.Choice; {
+	case ch.Of == 0:
+		p.Why = "an earlier leader placed it"
+	case ch.Wish != 0:
+		p.Why = fmt.Sprintf("of %d that fitted: efficiency %.2f, and %+.2f for wishes", ch.Of, ch.Efficiency, ch.Wish)
+	default:
+		p.Why = fmt.Sprintf("of %d that fitted the most efficient: %.2f", ch.Of, ch.Efficiency)
+	}
+	if a.Choice.Image {
+		p.Why += "; it held the image"
+	}
+	return p
+}
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -732,6 +732,7 @@
 	}
 	c.catalogAt = now.Add(c.set.CatalogEvery)
 	c.types = ev.Types
+	c.catalogRules()
 	for _, m := range c.machines {
 		m.Type = c.typeOf(m.Type.Name)
 	}
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -24,6 +24,10 @@
 	var gang *sched.Want
 	var try uint64
 	for _, pl := range plan.Place {
+		if pl.Want.Rules != nil && !c.stands(pl, plan.Place) {
+			c.dirty = true // the next pass finds another place
+			continue
+		}
 		if pl.Want.Job.Spec.Shape != model.Gang {
 			c.launch(now, pl, c.nextTry())
 			continue
@@ -74,7 +78,7 @@
 		return
 	}
 	a := &model.Attempt{Task: model.TaskID{Job: j.Spec.ID, Index: i}, Try: try, Job: j, Machine: m, Session: m.Session,
-		Need: j.Spec.Need, Team: j.Spec.Team, Use: c.usage(j.Spec.Team), LaunchedAt: now}
+		Need: j.Spec.Need, Team: j.Spec.Team, Use: c.usage(j.Spec.Team), LaunchedAt: now, Choice: pl.Choice}
 	a.Set(model.Launching)
 	m.Rows[model.AttemptKey{Task: a.Task, Try: try}] = a
 	j.Live[i] = a
@@ -88,9 +92,27 @@
 }
 
 // placeable tells whether work may be placed on a machine now.
-func (c *Core) placeable(now time.Time, m *model.Machine) bool {
-	return m.State == model.Ready && m.Registered && !m.Unsure && m.Notice.IsZero() && m.Session > m.DeadSession &&
-		now.Sub(m.LastReport) <= c.set.SilentAfter/2
+func (c *Core) placeable(now time.Time, m *model.Machine) bool { return c.unplaceable(now, m) == "" }
+
+// unplaceable says why nothing is placed on a machine now; "": it may be.
+func (c *Core) unplaceable(now time.Time, m *model.Machine) string {
+	switch {
+	case m.State == model.Booting:
+		return "booting"
+	case !m.Notice.IsZero():
+		return "the cloud has given notice"
+	case m.State == model.Draining || m.State == model.Returning:
+		return "given back: " + m.Why
+	case m.Unsure || m.State != model.Ready:
+		return "not known yet what runs on it since the takeover"
+	case !m.Registered:
+		return "its record is not written yet"
+	case m.Session <= m.DeadSession:
+		return "its worker's lease has run out"
+	case now.Sub(m.LastReport) > c.set.SilentAfter/2:
+		return "its worker is silent"
+	}
+	return ""
 }
 
 // picture shows the scheduler what there is. It looks at machines, not at what is
@@ -103,9 +125,6 @@
 	c.paths(now)
 	c.shares(now)
 	guaranteed := c.guaranteed()
-	for _, j := range c.order {
-		c.wants(now, p, j, guaranteed[j])
-	}
 	unknown := c.stray.Held // of attempts whose team is not known, and of unsettled machines
 	nodes := make([]sched.Node, 0, len(c.machines))
 	for _, m := range c.machines {
@@ -116,6 +135,13 @@
 			p.Nodes = append(p.Nodes, &nodes[len(nodes)-1])
 		}
 	}
+	c.classify(p.Nodes)
+	if len(c.ruled) > 0 {
+		p.RulesOf = c.rulesOf
+	}
+	for _, j := range c.order {
+		c.wants(now, p, j, guaranteed[j])
+	}
 	for t, u := range c.use {
 		p.Used[t], p.Leaving[t] = u.Held.Add(unknown), u.Leaving
 	}
@@ -228,9 +254,10 @@
 
 // wants adds what waits of a job.
 func (c *Core) wants(now time.Time, p *sched.Picture, j *model.Job, guaranteed bool) {
-	if !mayStart(j) || j.Waiting() == 0 {
+	if !mayStart(j) || j.Waiting() == 0 || !c.readable(j) {
 		return
 	}
+	rules := c.rulesOf(j)
 	// A task of a job from before the takeover may sit on a machine that is not
 	// settled yet; a job that was accepted later cannot.
 	if c.unsure > 0 && j.Version <= c.rev && !j.Fresh || now.Before(j.NotBefore) {
@@ -256,14 +283,14 @@
 		n := j.Unfinished()
 		slack, due := c.slack(now, j, restart, 0)
 		p.Wants = append(p.Wants, &sched.Want{Job: j, From: from, Restart: restart, Count: n, Cap: n, Slack: slack, Due: due,
-			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones, Band: c.band(s.Team)})
+			Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones, Rules: rules, Band: c.band(s.Team)})
 		return
 	}
 	for _, st := range []model.TaskState{model.TaskRestart, model.TaskNew, model.TaskYielded} {
 		if n := j.Count(st); n > 0 {
 			slack, due := c.slack(now, j, st != model.TaskNew, 0)
 			p.Wants = append(p.Wants, &sched.Want{Job: j, From: st, Restart: st == model.TaskRestart, Count: n, Cap: n, Slack: slack, Due: due,
-				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones, Band: c.band(s.Team)})
+				Waited: now.Sub(j.WaitSince), Guaranteed: guaranteed, Zones: zones, Rules: rules, Band: c.band(s.Team)})
 		}
 	}
 }
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"strings"
 	"time"
 
 	"github.com/glentiller/glentiller/internal/model"
@@ -96,8 +97,24 @@
 	}
 }
 
+// of counts the tasks on the machine of jobs whose id begins in some way.
+func (k *Worker) of(prefix string) int {
+	n := 0
+	for _, t := range k.Tasks {
+		if t.On() && strings.HasPrefix(t.ID.Job, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 func (k *Worker) launch(key model.AttemptKey, now time.Time) *Task {
 	k.w.Starts[key.Task]++
+	defer func() {
+		if ok := k.w.Allowed[key.Task.Job]; ok != nil && !ok(k) {
+			k.w.broken("rules: %v started on %s", key.Task, k.Name)
+		}
+	}()
 	t := &Task{ID: key.Task, Try: key.Try, Spec: k.w.Specs[key.Task.Job], Phase: model.Fetching, until: now.Add(k.w.Fetch + k.Slow)}
 	if t.Spec == nil {
 		t.Phase, t.Cause = model.Exited, model.CauseUnknown
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -32,10 +32,11 @@
 	Bad         map[string]bool // jobs whose tasks fail everywhere
 	Cancelled   map[string]time.Time
 	Teams       map[string]model.Team
-	Awaits      map[string][]string // what jobs were submitted to wait for
-	Limits      store.Limits        // that the controllers keep within
-	Keep        int                 // ended jobs that a controller remembers
-	Rejected    []string            // records that the state service would not take
+	Awaits      map[string][]string             // what jobs were submitted to wait for
+	Allowed     map[string]func(k *Worker) bool // what jobs' rules say of a machine when a task has started there
+	Limits      store.Limits                    // that the controllers keep within
+	Keep        int                             // ended jobs that a controller remembers
+	Rejected    []string                        // records that the state service would not take
 
 	Fetch, Run, Lease, ReportEvery, GangWait, Boot, CancelIn time.Duration
 
@@ -140,7 +141,7 @@
 		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, Teams: map[string]model.Team{},
 		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
 		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
-		seen: map[string]bool{}, Awaits: map[string][]string{}, Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
+		seen: map[string]bool{}, Allowed: map[string]func(k *Worker) bool{}, Awaits: map[string][]string{}, Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
 	w.State = NewState(func() time.Time { return w.now })
 	for _, t := range set.Teams {
 		w.Teams[t.Name] = t
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,8 @@
 	Spot bool
 	Soon *model.Resources // of a machine that is up; nil: the whole machine
 	free model.Resources
+	by   *sched.Want // the last one that it was filled with
+	of   int         // and how many tasks of it
 }
 
 // Idle tells whether a machine that has been empty for some time is to be given
@@ -113,22 +115,23 @@
 			zones[z] = k
 		}
 		for ; n > 0; n-- {
-			if !fillComing(v, spec, zones, l.Want.Urgent()) {
+			if !fillComing(v, l.Want, zones) {
 				break
 			}
 		}
 		for n > 0 {
-			best, per, ok := cheapest(now, v, spec, zones)
+			best, per, ok := cheapest(now, v, l.Want, zones)
 			if !ok {
 				break
 			}
+			per = min(per, l.Want.PerMachine())
 			t := typeOf(v.Types, best.Type)
 			c := &Coming{Type: t, Zone: best.Zone, Spot: best.Spot, free: t.Cap}
 			v.Coming = append(v.Coming, c)
 			v.Count[best.Zone]++
 			k := 0
 			for ; n > 0 && k < per; k++ {
-				if spec.Spread && zones[best.Zone] >= spec.ZoneCap() {
+				if zones[best.Zone] >= l.Want.ZoneCap() {
 					break
 				}
 				c.free = c.free.Sub(spec.Need)
@@ -165,17 +168,22 @@
 	return nil
 }
 
-func fillComing(v *View, spec *model.Spec, zones map[string]int, urgent bool) bool {
+func fillComing(v *View, w *sched.Want, zones map[string]int) bool {
+	spec := w.Job.Spec
 	for _, c := range v.Coming {
-		if urgent && c.Soon != nil || c.Spot && !spec.Spot || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
+		if w.Urgent() && c.Soon != nil || c.Spot && !spec.Spot || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
 			continue
 		}
 		if spec.Need.GPU == 0 && v.ForGPU(c.Type, c.Spot) {
 			continue
 		}
-		if !spec.Need.Fits(c.free) || spec.Spread && zones[c.Zone] >= spec.ZoneCap() {
+		if !spec.Need.Fits(c.free) || zones[c.Zone] >= w.ZoneCap() || !w.Rules.Offer(c.Type, c.Zone, c.Spot) || c.by == w && c.of >= w.PerMachine() {
 			continue
 		}
+		if c.by != w {
+			c.by, c.of = w, 0
+		}
+		c.of++
 		c.free = c.free.Sub(spec.Need)
 		zones[c.Zone]++
 		return true
@@ -183,7 +191,8 @@
 	return false
 }
 
-func cheapest(now time.Time, v *View, spec *model.Spec, zones map[string]int) (Offer, int, bool) {
+func cheapest(now time.Time, v *View, w *sched.Want, zones map[string]int) (Offer, int, bool) {
+	spec := w.Job.Spec
 	type option struct {
 		Offer
 		price float64
@@ -207,7 +216,7 @@
 			}
 			for _, z := range t.Zones {
 				o := Offer{t.Name, z, spot}
-				if spec.Zone != "" && z != spec.Zone || now.Before(v.Refused[o]) || spec.Spread && zones[z] >= spec.ZoneCap() {
+				if spec.Zone != "" && z != spec.Zone || now.Before(v.Refused[o]) || zones[z] >= w.ZoneCap() || !w.Rules.Offer(t, z, spot) {
 					continue
 				}
 				quiet := 0
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -59,6 +59,7 @@
 type Settings struct {
 	RetryAfter time.Duration
 	Conns      int
+	Rules      bool // submissions may carry rules
 }
 
 // Server answers requests.
@@ -220,7 +221,9 @@
 	} else if ok, w := model.CanEverRun(spec, s.back.Team(spec.Team), types); !ok {
 		why = w
 	} else if s.jobs.Peek(id).State == wire.StateUnknown {
-		doomed, status, why = s.resolve(ctx, spec)
+		if status, why = s.rules(ctx, spec, types); why == "" {
+			doomed, status, why = s.resolve(ctx, spec)
+		}
 	}
 	if why != "" || s.jobs.Peek(id).State != wire.StateUnknown {
 		// Never to be accepted, or known already: the present state decides.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"maps"
@@ -102,7 +103,13 @@
 // serve runs a front in memory and returns what sends requests to it.
 func serve(t *testing.T, r *records, b *backend) func(method, path string, body any) (int, map[string]any, string) {
 	t.Helper()
-	s := New(Settings{RetryAfter: time.Second, Conns: 10}, r, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return serveWith(t, Settings{RetryAfter: time.Second, Conns: 10}, r, b)
+}
+
+// serveWith is the same with other settings.
+func serveWith(t *testing.T, set Settings, r *records, b *backend) func(method, path string, body any) (int, map[string]any, string) {
+	t.Helper()
+	s := New(set, r, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	l := fasthttputil.NewInmemoryListener()
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = l.Close() })
@@ -147,6 +154,58 @@
 
 var eight = []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Zones: []string{"a"}}}
 
+func TestRulesOfSubmissions(t *testing.T) {
+	r := &records{known: map[string]store.JobView{"wk-000009": {State: wire.StateQueued, Spec: &model.Spec{Tasks: 1, Zone: "b"}}}}
+	b := &backend{types: []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Zones: []string{"a"}},
+		{Name: "gpu", Cap: model.Resources{CPU: 8, GPU: 4, MemGB: 64}, Zones: []string{"b"}}}}
+	do := serveWith(t, Settings{RetryAfter: time.Second, Conns: 10, Rules: true}, r, b)
+	ruled := func(id string, rules any) map[string]any {
+		m := maps.Clone(submission(id))
+		m["rules"] = rules
+		return m
+	}
+	for _, c := range []struct {
+		rules any
+		want  int
+		why   string
+	}{
+		{"require gpus >= 1; prefer 20 spot", 201, ""},
+		{nil, 201, ""},
+		{"", 201, ""},
+		{7, 400, "not a text"},
+		{"require gpus => 1", 400, "line 1, column 15: unexpected token \">\" (expected a value)"},
+		{"require gpus >= 1; require zone = \"a\"", 422, "these exclude each other: `require gpus >= 1` (line 1); `require zone = \"a\"` (line 1)"},
+		{"require same zone as wk-000009; require zone = \"a\"", 422, "which may only be in b"},
+		{"prefer 5 apart from wk-777777", 422, "never accepted"},
+		{"require same zone as wk-000107", 422, "names the job itself"},
+		{strings.Repeat("require spot;", 4000), 400, "longer than"},
+	} {
+		id := fmt.Sprintf("wk-%06d", 100+len(r.known)-1)
+		if strings.Contains(c.why, "itself") {
+			id = "wk-000107"
+		}
+		code, body, _ := do("POST", "/api/jobs", ruled(id, c.rules))
+		if why, _ := body["error"].(string); code != c.want || !strings.Contains(why, c.why) {
+			t.Errorf("%v: got %d %v, want %d %s", c.rules, code, body, c.want, c.why)
+		}
+	}
+	if s := r.known["wk-000100"].Spec; s == nil || s.Rules != "require gpus >= 1; prefer 20 spot" {
+		t.Errorf("kept: %+v", s)
+	}
+	b.types = nil
+	if code, _, after := do("POST", "/api/jobs", ruled("wk-000200", "require spot")); code != 503 || after == "" {
+		t.Errorf("without a catalogue: %d", code)
+	}
+	b.types = eight
+	off := serve(t, r, b)
+	for i, rules := range []any{"require gpus => 1", 7, "require gpus > 100"} {
+		id := fmt.Sprintf("wk-%06d", 300+i)
+		if code, body, _ := off("POST", "/api/jobs", ruled(id, rules)); code != 201 || r.known[id].Spec.Rules != "" {
+			t.Errorf("turned off, %v: %d %v", rules, code, body)
+		}
+	}
+}
+
 func TestWhatUsersAreAnswered(t *testing.T) {
 	r := &records{known: map[string]store.JobView{"wk-000009": {State: wire.StateDone, Tasks: 7}}}
 	do := serve(t, r, &backend{types: eight})
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -52,6 +52,8 @@
 	Yields     bool         // was stopped to make room
 	Told       AttemptState // the state that a direct command has told the worker of
 
+	Choice Choice // why it is on its machine; zero where another leader chose
+
 	// For the ledger; zero while no message has shown it running.
 	Ran     time.Time // the first message to this leader that showed it running
 	Charged time.Time // up to here its run time is charged
@@ -62,6 +64,14 @@
 	StrayLaunch bool
 }
 
+// Choice is what decided where an attempt was placed.
+type Choice struct {
+	Of         int     // machines that fitted, this one among them
+	Efficiency float64 // of the machine with the task on it
+	Wish       float64 // what the job's wishes added to it
+	Image      bool    // the machine is known to have held the image
+}
+
 // Usage is the account of what a team's attempts hold. It is kept as attempts
 // change, so that nobody has to count them.
 type Usage struct {
--- a/internal/model/spec.go
+++ b/internal/model/spec.go
@@ -120,6 +120,7 @@
 	Save            time.Duration // time to save when stopped
 	Deadline        time.Duration // from submission; 0: none
 	Awaits          []string      // jobs that have to be done before any task starts
+	Rules           string        // where it may run and would like to, in the language of package constraint
 }
 
 // AllowsType tells whether the job may use machines of the type.
--- /dev/null
+++ b/internal/node/explain.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/peer/peerpb"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// errNoLeader says that nobody can answer what only the leader's picture knows.
+var errNoLeader = errors.New("no leader is within reach")
+
+// explainWait bounds how long an explanation may take.
+const explainWait = 3 * time.Second
+
+// Explain says why a job's tasks wait, as JSON; empty: the job is not among the unfinished
+// ones. A controller that does not lead asks the one that does.
+func (n *Node) Explain(ctx context.Context, id string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, explainWait)
+	defer cancel()
+	if a := n.explain(ctx, id); a.GetAct() {
+		return a.GetBody(), nil
+	}
+	leader := n.leader.Load()
+	if leader == nil || n.peers[*leader] == nil {
+		return nil, errNoLeader
+	}
+	a, err := n.peers[*leader].Ask(ctx, &peerpb.Ask{Explain: id})
+	if err == nil && !a.GetAct() {
+		err = errNoLeader
+	}
+	return a.GetBody(), err
+}
+
+// explain answers where this controller leads.
+func (n *Node) explain(ctx context.Context, id string) *peerpb.AskAnswer {
+	if !n.right.Load().holds() {
+		return nil
+	}
+	got := make(chan *peerpb.AskAnswer, 1)
+	f := func(now time.Time) {
+		a := &peerpb.AskAnswer{}
+		var e *control.Explanation
+		if n.core != nil && ctx.Err() == nil {
+			a.Act, e = true, n.core.Explain(now, id)
+		}
+		if e != nil {
+			var err error
+			if a.Body, err = json.Marshal(e); err != nil {
+				a.Act = false
+				n.log.Error("an explanation cannot be written", "id", id, "err", err)
+			}
+		}
+		got <- a
+	}
+	select {
+	case n.inbox <- f:
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case a := <-got:
+		return a
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// State tells how a job stands by the state service's records.
+func (n *Node) State(ctx context.Context, id string) (wire.JobState, error) {
+	v, err := n.jobs.Lookup(ctx, id)
+	return v.State, err
+}
+
+// Ask answers an operator's question that another controller hands over.
+func (h relayed) Ask(ctx context.Context, q *peerpb.Ask) *peerpb.AskAnswer {
+	ctx, cancel := context.WithTimeout(ctx, explainWait)
+	defer cancel()
+	if a := h.n.explain(ctx, q.GetExplain()); a != nil {
+		return a
+	}
+	return &peerpb.AskAnswer{}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 	if conns == 0 {
 		conns = 1000
 	}
-	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns * 2 / 3}, n.jobs, n, time.Now, log)
+	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns * 2 / 3, Rules: o.Constraints != nil}, n.jobs, n, time.Now, log)
 	n.peers = map[string]*peer.Client{}
 	for _, m := range p.Members {
 		n.peers[m.Member] = peer.NewClient(m.Addr)
@@ -171,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	s := admin.New(config.AdminServer(n.plat, n.oper), n.state, n.log)
+	s := admin.New(config.AdminServer(n.plat, n.oper), n.state, n, n.log)
 	n.log.Info("operators' interface", "listen", l.Addr().String())
 	n.group.Go(func() error {
 		if err := s.Serve(l); err != nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,8 @@
 type Handler interface {
 	// Relay answers a worker's report that another controller hands over.
 	Relay(ctx context.Context, report []byte) *peerpb.RelayAnswer
+	// Ask answers an operator's question that another controller hands over.
+	Ask(ctx context.Context, q *peerpb.Ask) *peerpb.AskAnswer
 	// Progress takes what the leader tells for display.
 	Progress(p *peerpb.Progress)
 }
@@ -75,18 +77,23 @@
 		switch b := e.Body.(type) {
 		case *peerpb.Envelope_Progress:
 			h.Progress(b.Progress)
-		case *peerpb.Envelope_Relay:
+		case *peerpb.Envelope_Relay, *peerpb.Envelope_Ask:
 			select {
 			case room <- struct{}{}:
 			default:
-				continue // the other side's wait runs out; the worker tries again
+				continue // the other side's wait runs out; it tries again
 			}
 			go func() {
 				defer func() { <-room }()
-				a := h.Relay(ctx, b.Relay.GetReport())
+				a := &peerpb.Envelope{Id: e.GetId()}
+				if ask := e.GetAsk(); ask != nil {
+					a.Body = &peerpb.Envelope_AskAnswer{AskAnswer: h.Ask(ctx, ask)}
+				} else {
+					a.Body = &peerpb.Envelope_RelayAnswer{RelayAnswer: h.Relay(ctx, e.GetRelay().GetReport())}
+				}
 				mu.Lock()
 				defer mu.Unlock()
-				if write(c, &peerpb.Envelope{Id: e.GetId(), Body: &peerpb.Envelope_RelayAnswer{RelayAnswer: a}}) != nil {
+				if write(c, a) != nil {
 					_ = c.Close()
 				}
 			}()
@@ -109,12 +116,12 @@
 	conn    net.Conn
 	dialing bool
 	next    uint64
-	waiting map[uint64]chan *peerpb.RelayAnswer
+	waiting map[uint64]chan *peerpb.Envelope
 }
 
 // NewClient makes a client.
 func NewClient(addr string) *Client {
-	return &Client{addr: addr, waiting: map[uint64]chan *peerpb.RelayAnswer{}}
+	return &Client{addr: addr, waiting: map[uint64]chan *peerpb.Envelope{}}
 }
 
 var errBusy = errors.New("a connection is being made")
@@ -156,8 +163,8 @@
 		ch := c.waiting[e.GetId()]
 		delete(c.waiting, e.GetId())
 		c.mu.Unlock()
-		if a := e.GetRelayAnswer(); ch != nil && a != nil {
-			ch <- a
+		if ch != nil {
+			ch <- e
 		}
 	}
 }
@@ -187,7 +194,20 @@
 
 // Relay hands a worker's report to this controller and waits for its answer.
 func (c *Client) Relay(ctx context.Context, report []byte) (*peerpb.RelayAnswer, error) {
-	ch := make(chan *peerpb.RelayAnswer, 1)
+	a, err := c.ask(ctx, &peerpb.Envelope{Body: &peerpb.Envelope_Relay{Relay: &peerpb.Relay{Report: report}}})
+	return a.GetRelayAnswer(), err
+}
+
+// Ask hands an operator's question to this controller and waits for its answer. An old
+// version does not answer.
+func (c *Client) Ask(ctx context.Context, q *peerpb.Ask) (*peerpb.AskAnswer, error) {
+	a, err := c.ask(ctx, &peerpb.Envelope{Body: &peerpb.Envelope_Ask{Ask: q}})
+	return a.GetAskAnswer(), err
+}
+
+// ask sends a request and waits for its answer.
+func (c *Client) ask(ctx context.Context, q *peerpb.Envelope) (*peerpb.Envelope, error) {
+	ch := make(chan *peerpb.Envelope, 1)
 	c.mu.Lock()
 	c.next++
 	id := c.next
@@ -198,7 +218,8 @@
 		delete(c.waiting, id)
 		c.mu.Unlock()
 	}()
-	if err := c.send(&peerpb.Envelope{Id: id, Body: &peerpb.Envelope_Relay{Relay: &peerpb.Relay{Report: report}}}); err != nil {
+	q.Id = id
+	if err := c.send(q); err != nil {
 		return nil, err
 	}
 	select {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -27,6 +27,10 @@
 	return &peerpb.RelayAnswer{Act: true, Body: append([]byte("answer to "), report...)}
 }
 
+func (l *leader) Ask(_ context.Context, q *peerpb.Ask) *peerpb.AskAnswer {
+	return &peerpb.AskAnswer{Act: true, Body: []byte("why " + q.GetExplain())}
+}
+
 func (l *leader) Progress(p *peerpb.Progress) { l.told <- p }
 
 func start(t *testing.T) (*leader, string) {
@@ -52,6 +56,9 @@
 func TestReportsAreRelayedAndProgressIsTold(t *testing.T) {
 	h, addr := start(t)
 	c := NewClient(addr)
+	if a, err := c.Ask(t.Context(), &peerpb.Ask{Explain: "wk-000001"}); err != nil || string(a.GetBody()) != "why wk-000001" {
+		t.Fatalf("a question: got %v, %v", a, err)
+	}
 	for _, report := range []string{"one", "two"} {
 		a, err := c.Relay(t.Context(), []byte(report))
 		if err != nil || !a.GetAct() || string(a.GetBody()) != "answer to "+report {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -55,6 +55,7 @@
 	Free    model.Resources
 	Freeing model.Resources // held by attempts that were told to stop
 	ForGPU  bool            // kept for GPU work: tasks without GPU stay off it
+	Class   int             // its class of machines, where a want has rules
 	Victims []Running
 	claimed model.Resources // of Freeing, promised to wants that go first
 }
@@ -71,6 +72,7 @@
 	Guaranteed bool           // the job fits into its team's guarantee
 	Zones      map[string]int // tasks that may be in each zone already
 	Cap        int            // how many may be started in this pass, by what else limits them
+	Rules      *Rules         // where its job may run and would like to; nil: it has no rules
 	Band       int            // its team's band by fair share; it counts only beyond guarantees
 
 	at standing
@@ -80,6 +82,7 @@
 type Placement struct {
 	Want *Want
 	Node *Node
+	model.Choice
 }
 
 // Shortage is the part of a want that fits nowhere.
@@ -163,7 +166,8 @@
 	Leaving map[string]model.Resources // by team, the part of that which was told to stop
 	Teams   map[string]*model.Team
 	Zones   []string
-	Look    func() // fills in what runs on the nodes; called once, when room is short
+	RulesOf func(j *model.Job) *Rules // of a job that runs; nil: none has any
+	Look    func()                    // fills in what runs on the nodes; called once, when room is short
 }
 
 // look has the nodes show what runs on them.
@@ -368,7 +372,11 @@
 	if spec.Shape != model.Service || len(j.Live) < spec.Tasks || spec.OneZone && spec.Tasks > 1 {
 		return nil
 	}
-	dear := p.dearer(spec, s.Dear)
+	var rules *Rules
+	if p.RulesOf != nil {
+		rules = p.RulesOf(j)
+	}
+	dear := p.dearer(spec, rules, s.Dear)
 	zones := map[string]int{}
 	var off, lone []*model.Attempt
 	for _, a := range j.Live {
@@ -387,8 +395,8 @@
 		if nd.Machine.Zone == a.Machine.Zone {
 			room--
 		}
-		return nd.Machine != a.Machine && nd.hasImage(spec) && Allowed(spec, nd.Machine, "") && !nd.kept(spec) && spec.Need.Fits(nd.Free) &&
-			j.ErrorOn[nd.Machine.Name] == 0 && room < spec.ZoneCap()
+		return nd.Machine != a.Machine && nd.hasImage(spec) && nd.never(j, rules, "") == Fits && spec.Need.Fits(nd.Free) &&
+			room < zoneCap(spec, rules) && !rules.machineFull(nd.Machine)
 	}
 	byIndex := func(a, b *model.Attempt) int { return cmp.Compare(a.Task.Index, b.Task.Index) }
 	slices.SortFunc(off, byIndex)
@@ -452,7 +460,7 @@
 			// the best fit without it.
 			if spec.Shape == model.Service {
 				// A service stays for long: first the cheap kinds of machine.
-				dear := p.dearer(spec, s.Dear)
+				dear := p.dearer(spec, w.Rules, s.Dear)
 				lack -= p.place(s, plan, w, lack, stage{image: true, rate: dear})
 				lack -= p.preempt(plan, w, lack, &stops, stage{image: true, rate: dear})
 			}
@@ -493,10 +501,10 @@
 
 // dearer is the rate above which a machine counts as dear for a job: a factor
 // over the cheapest one that it may use.
-func (p *Picture) dearer(spec *model.Spec, factor float64) float64 {
+func (p *Picture) dearer(spec *model.Spec, rules *Rules, factor float64) float64 {
 	least := 0.0
 	for _, nd := range p.Nodes {
-		if r := rate(nd.Machine); Allowed(spec, nd.Machine, "") && (least == 0 || r < least) {
+		if r := rate(nd.Machine); nd.may(spec, rules, "") == Fits && (least == 0 || r < least) {
 			least = r
 		}
 	}
@@ -520,7 +528,7 @@
 		p.commit(plan, w, got)
 		return len(got)
 	}
-	var best []*Node
+	var best []Placement
 	for _, z := range zones {
 		got := p.fill(s, w, n, z, st)
 		p.undo(w, got)
@@ -531,8 +539,8 @@
 	if spec.Shape == model.Gang && len(best) < n {
 		return 0
 	}
-	for _, nd := range best {
-		p.take(w, nd)
+	for _, pl := range best {
+		p.take(w, pl.Node)
 	}
 	p.commit(plan, w, best)
 	return len(best)
@@ -551,66 +559,67 @@
 func (p *Picture) take(w *Want, nd *Node) {
 	nd.Free = nd.Free.Sub(w.Job.Spec.Need)
 	w.Zones[nd.Machine.Zone]++
+	w.Rules.put(nd.Machine, 1)
 }
 
-func (p *Picture) undo(w *Want, nodes []*Node) {
-	for _, nd := range nodes {
+func (p *Picture) undo(w *Want, places []Placement) {
+	for _, pl := range places {
+		nd := pl.Node
 		nd.Free = nd.Free.Add(w.Job.Spec.Need)
 		w.Zones[nd.Machine.Zone]--
+		w.Rules.put(nd.Machine, -1)
 	}
 }
 
-func (p *Picture) commit(plan *Plan, w *Want, nodes []*Node) {
+func (p *Picture) commit(plan *Plan, w *Want, places []Placement) {
 	spec := w.Job.Spec
-	for _, nd := range nodes {
-		plan.Place = append(plan.Place, Placement{w, nd})
-	}
-	p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(len(nodes)))
-}
-
-// Allowed tells whether a job may use a machine at all.
-func Allowed(spec *model.Spec, m *model.Machine, zone string) bool {
-	return (zone == "" || m.Zone == zone) && (spec.Zone == "" || m.Zone == spec.Zone) &&
-		(spec.Spot || !m.Spot) && spec.AllowsType(m.Type.Name) && spec.Need.Fits(m.Type.Cap)
+	plan.Place = append(plan.Place, places...)
+	p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(len(places)))
 }
 
 // fill chooses machines for up to n tasks, one by one: of those that fit, the
-// one whose power efficiency after placement is highest; where that is equal,
-// one that has the image.
-func (p *Picture) fill(s *Settings, w *Want, n int, zone string, st stage) []*Node {
+// one whose power efficiency after placement, with what the job wishes added, is
+// highest; where that is equal, one that has the image.
+func (p *Picture) fill(s *Settings, w *Want, n int, zone string, st stage) []Placement {
 	spec := w.Job.Spec
 	var fits []*Node
 	for _, nd := range p.Nodes {
-		if Allowed(spec, nd.Machine, zone) && !nd.kept(spec) && spec.Need.Fits(nd.Free) && w.Job.ErrorOn[nd.Machine.Name] == 0 && st.takes(nd, spec) {
+		if nd.never(w.Job, w.Rules, zone) == Fits && nd.now(w) == Fits && st.takes(nd, spec) {
 			fits = append(fits, nd)
 		}
 	}
-	var got []*Node
+	var got []Placement
 	for len(got) < n {
 		var best *Node
 		var bestEff float64
-		var bestImage bool
+		choice := model.Choice{Of: len(fits)}
 		for _, nd := range fits {
-			if !spec.Need.Fits(nd.Free) || spec.Spread && w.Zones[nd.Machine.Zone] >= spec.ZoneCap() {
+			if nd.now(w) != Fits {
 				continue
 			}
 			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
-			eff := Efficiency(share(nd.Machine, used), s.IdleShare)
+			power := Efficiency(share(nd.Machine, used), s.IdleShare)
 			image := nd.hasImage(spec)
+			wish := 0.0
+			if w.Rules != nil {
+				wish = w.Rules.wish(nd, image)
+			}
+			eff := power + wish
 			// Where the efficiency is equal: the image, then the cheaper kind.
 			better := eff > bestEff+1e-9
 			if best != nil && !better && eff > bestEff-1e-9 {
-				better = image && !bestImage || image == bestImage && rate(nd.Machine) < 0.999*rate(best.Machine)
+				better = image && !choice.Image || image == choice.Image && rate(nd.Machine) < 0.999*rate(best.Machine)
 			}
 			if best == nil || better {
-				best, bestEff, bestImage = nd, eff, image
+				best, bestEff = nd, eff
+				choice.Efficiency, choice.Wish, choice.Image = power, wish, image
 			}
 		}
 		if best == nil {
 			break
 		}
 		p.take(w, best)
-		got = append(got, best)
+		got = append(got, Placement{w, best, choice})
 	}
 	return got
 }
@@ -653,7 +662,7 @@
 		var bestSet []int
 		var bestLoss time.Duration
 		for _, nd := range p.Nodes {
-			if !Allowed(spec, nd.Machine, lock) || nd.kept(spec) || w.Job.ErrorOn[nd.Machine.Name] > 0 || spec.Spread && zones[nd.Machine.Zone] >= spec.ZoneCap() || !st.takes(nd, spec) {
+			if nd.never(w.Job, w.Rules, lock) != Fits || zones[nd.Machine.Zone] >= zoneCap(spec, w.Rules) || w.Rules.machineFull(nd.Machine) || !st.takes(nd, spec) {
 				continue
 			}
 			free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
@@ -686,6 +695,8 @@
 		best.Free = best.Free.Sub(take)
 		best.claimed = best.claimed.Add(spec.Need.Sub(take))
 		zones[best.Machine.Zone]++
+		w.Rules.put(best.Machine, 1)
+		defer w.Rules.put(best.Machine, -1)
 		if spec.OneZone {
 			lock = best.Machine.Zone
 		}
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -188,10 +188,19 @@
 		return duration(&s.Deadline)
 	case "awaits":
 		return readAwaits(b, &s.Awaits)
+	case "rules":
+		if msgp.NextType(b) != msgp.StrType {
+			s.Rules = NoRules // malformed, which matters only where rules are on
+			return b, false, nil
+		}
+		return readStr(b, &s.Rules)
 	}
 	return b, false, nil
 }
 
+// NoRules stands for rules that are no text.
+const NoRules = "\x00"
+
 // readAwaits reads a list of job ids. A name that is repeated counts once.
 func readAwaits(b []byte, to *[]string) ([]byte, bool, error) {
 	var ids []string
@@ -222,6 +231,9 @@
 	if s.Deadline > 0 {
 		n++
 	}
+	if s.Rules != "" {
+		n++
+	}
 	b = msgp.AppendMapHeader(b, n)
 	b = appendStr(b, "ref", s.ID)
 	b = appendStr(b, "jobclass", s.Class)
@@ -249,6 +261,9 @@
 	if s.Deadline > 0 {
 		b = appendNum(b, "dueS", s.Deadline.Seconds())
 	}
+	if s.Rules != "" {
+		b = appendStr(b, "rules", s.Rules)
+	}
 	return b
 }
 
@@ -268,6 +283,8 @@
 	return [...]string{"", "queued", "running", "done", "withdrawn"}[s]
 }
 
+func (s JobState) String() string { return s.wire() }
+
 // Ended tells whether the state is final.
 func (s JobState) Ended() bool { return s == StateDone || s == StateCancelled }
 
