Members promise the leader not to take over, so that it outlives outages of the state service

Change: election keeps promises by named states; the leader's right is the later one of its lease and of what all other members have promised, as long as it has not lapsed. Members tell the leader of cancellations that it cannot read. On promises alone nothing is rented or given back.

--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -101,10 +101,22 @@
 
 // Election puts together what the election works by.
 func Election(p *Platform, o *Operator) election.Settings {
-	return election.Settings{Member: p.Member, Life: o.Leadership.Lease.D(), Margin: o.Leadership.Margin.D(),
+	s := election.Settings{Member: p.Member, Life: o.Leadership.Lease.D(), Margin: o.Leadership.Margin.D(),
 		Look: o.Leadership.Look.D(), Retry: o.Leadership.Retry.D()}
+	for _, m := range p.Members {
+		s.Others = append(s.Others, m.Member)
+	}
+	// A cancellation that the leader learns of only when its right has ended: workers'
+	// leases, which it has kept alive until then, must run out in time.
+	if w := p.Deployment.Workers; o.Promises != nil && Seconds(w.Lease)+s.Life+promiseSlack < Seconds(w.Cancel) {
+		s.Promise = s.Life * 7 / 8
+	}
+	return s
 }
 
+// promiseSlack is for messages under way, margins and drift.
+const promiseSlack = 3 * time.Second
+
 // aims sorts out which objectives the order of waiting work depends on.
 func aims(objectives []Objective) map[string][]control.Aim {
 	out := map[string][]control.Aim{}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -60,6 +60,7 @@
 	Ledger      *Ledger      `xml:"ledger"`
 	FairShare   *FairShare   `xml:"fair-share"`
 	Constraints *Constraints `xml:"constraints"`
+	Promises    *Promises    `xml:"promises"`
 	strict
 }
 
@@ -93,6 +94,10 @@
 // Constraints has submissions' rules read. There is nothing to set.
 type Constraints struct{ strict }
 
+// Promises has the other controllers promise the leader not to take over, so that it
+// outlives outages of the state service. There is nothing to set.
+type Promises struct{ strict }
+
 // Weight is a team's part, beside those of the others.
 type Weight struct {
 	Team  string  `xml:"team,attr"`
@@ -278,6 +283,9 @@
 	if c := o.Constraints; c != nil {
 		part("constraints", &c.strict)
 	}
+	if c := o.Promises; c != nil {
+		part("promises", &c.strict)
+	}
 	if f := o.FairShare; f != nil {
 		part("fair-share", &f.strict, between("fair-share/half-life", f.HalfLife, time.Minute, 366*day))
 		if o.Ledger == nil {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -31,6 +31,9 @@
 	Margin time.Duration // by which the right to act ends before the lease can
 	Look   time.Duration // between looks at who leads
 	Retry  time.Duration // after a failed renewal
+
+	Promise time.Duration // how long members promise a leader not to claim; 0: they promise nothing
+	Others  []string      // the other members
 }
 
 // Record is the content of the leader's keys.
@@ -73,6 +76,15 @@
 	Fenced struct{ Token uint64 }
 	// Resign: step down in order.
 	Resign struct{}
+	// PromiseBack: a member has promised this leader not to claim, as asked at Sent.
+	PromiseBack struct {
+		Member string
+		Token  uint64
+		Sent   time.Time
+	}
+	// Unbound: another member has said that it does not lead, so that nothing that this
+	// member promised it in an earlier life counts.
+	Unbound struct{ Member string }
 )
 
 func (Tick) electionEvent()    {}
@@ -84,6 +96,9 @@
 func (Fenced) electionEvent()  {}
 func (Resign) electionEvent()  {}
 
+func (PromiseBack) electionEvent() {}
+func (Unbound) electionEvent()     {}
+
 // Effect is what the election wants done.
 type Effect interface{ electionEffect() }
 
@@ -98,6 +113,12 @@
 	Drop    struct{ Lease uint64 }
 	Elected struct{ Token, TokenVersion uint64 }
 	Deposed struct{}
+	// AskPromises asks all other members for their promise to this leader.
+	AskPromises struct{ Token uint64 }
+	// AskUnbound asks the other members whether they lead.
+	AskUnbound struct{}
+	// Release tells the others that this leader needs their promises no more.
+	Release struct{ Token uint64 }
 )
 
 func (Look) electionEffect()    {}
@@ -108,6 +129,10 @@
 func (Elected) electionEffect() {}
 func (Deposed) electionEffect() {}
 
+func (AskPromises) electionEffect() {}
+func (AskUnbound) electionEffect()  {}
+func (Release) electionEffect()     {}
+
 // Machine is the state of the election at one controller.
 type Machine struct {
 	set   Settings
@@ -122,10 +147,17 @@
 	version  uint64
 	touching bool
 	holdOff  time.Time // do not stand before this
+
+	promises promises
 }
 
-// New makes the state machine.
-func New(s Settings, log *slog.Logger) *Machine { return &Machine{set: s, log: log} }
+// New makes the state machine. now is the moment from which an earlier life of the
+// process is certainly over.
+func New(now time.Time, s Settings, log *slog.Logger) *Machine {
+	m := &Machine{set: s, log: log}
+	m.promises.begin(now, &m.set)
+	return m
+}
 
 // State returns where this controller stands.
 func (m *Machine) State() State { return m.state }
@@ -142,7 +174,20 @@
 // RightUntil is when the right to act ends unless a renewal succeeds before.
 // It counts from the sending of the last renewal that succeeded, less the drift
 // of the clocks and a margin. Zero: no right.
+//
+// Promises of all other members may extend it: docs/safety.md, "Promises".
 func (m *Machine) RightUntil() time.Time {
+	until := m.LeaseUntil()
+	if m.state == Leading {
+		if p := m.promises.proven(&m.set); p.After(until) {
+			return p
+		}
+	}
+	return until
+}
+
+// LeaseUntil is when the part of the right ends that rests on the lease.
+func (m *Machine) LeaseUntil() time.Time {
 	if m.state != Leading {
 		return time.Time{}
 	}
@@ -189,6 +234,10 @@
 			m.to(Following, now.Add(m.set.Retry))
 			return nil
 		}
+		if m.promises.bound(now) {
+			m.to(Following, now.Add(m.set.Retry/2))
+			return []Effect{Drop{ev.Lease}}
+		}
 		m.lease, m.sent = ev.Lease, ev.Sent
 		m.to(Claiming, now.Add(m.set.Life))
 		return []Effect{Claim{Lease: ev.Lease, Token: m.token + 1, TokenVersion: m.version}}
@@ -206,6 +255,14 @@
 			m.holdOff = now.Add(2 * m.set.Life)
 			return m.depose(now)
 		}
+	case PromiseBack:
+		// Only while the right has not lapsed: once it has, somebody else may have led
+		// since, and this leader's picture may be old. Its lease alone can tell.
+		if m.state == Leading && ev.Token == m.token && m.Entitled(now) {
+			m.promises.have(&m.set, ev.Member, ev.Sent)
+		}
+	case Unbound:
+		m.promises.unbound(&m.set, ev.Member)
 	}
 	return nil
 }
@@ -214,18 +271,27 @@
 	if now.Before(m.next) {
 		return nil
 	}
+	var out []Effect
 	switch m.state {
 	case Following:
 		m.to(Looking, now.Add(m.set.Life))
-		return []Effect{Look{}}
+		out = append(out, Look{})
+		if m.promises.open(now) {
+			out = append(out, AskUnbound{})
+		}
+		return out
 	case Leading:
+		if m.set.Promise > 0 && !now.Before(m.promises.askAt) {
+			m.promises.askAt = now.Add(m.set.Promise / 4)
+			out = append(out, AskPromises{m.token})
+		}
 		if m.touching {
 			m.next = now.Add(m.set.Retry)
-			return nil
+			return out
 		}
 		m.touching = true
 		m.next = now.Add(m.set.Life / 4)
-		return []Effect{Touch{m.lease}}
+		return append(out, Touch{m.lease})
 	default: // an answer is overdue; every effect is answered, so only wait on
 		m.next = now.Add(m.set.Retry)
 	}
@@ -247,6 +313,7 @@
 	if r.Held {
 		m.leader = r.Leader
 	}
+	m.promises.seen = max(m.promises.seen, r.Token)
 	if m.state != Looking {
 		return nil
 	}
@@ -259,7 +326,7 @@
 		return []Effect{Drop{r.Lease}}
 	case r.Held:
 		m.to(Following, now.Add(m.set.Look))
-	case now.Before(m.holdOff):
+	case now.Before(m.holdOff), m.promises.bound(now):
 		m.to(Following, now.Add(m.set.Retry))
 	default:
 		m.token, m.version = r.Token, r.TokenVersion
@@ -282,6 +349,7 @@
 		return []Effect{Drop{lease}}
 	}
 	m.token, m.version = m.token+1, ev.Version
+	m.promises.elected(m.token)
 	m.leader = m.set.Member
 	m.touching = false
 	m.to(Leading, m.sent.Add(m.set.Life/4))
@@ -312,5 +380,8 @@
 	lease := m.lease
 	m.leader, m.lease, m.touching = "", 0, false
 	m.to(Following, now.Add(m.set.Retry))
+	if m.set.Promise > 0 {
+		return []Effect{Deposed{}, Drop{lease}, Release{m.token}}
+	}
 	return []Effect{Deposed{}, Drop{lease}}
 }
--- /dev/null
+++ b/internal/fake/promises_test.go
@@ -0,0 +1,172 @@
+package fake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// promising is the small deployment whose controllers promise the leader not to take over.
+func promising(t *testing.T, machines int) *World {
+	t.Helper()
+	w := deployment(t, machines)
+	for _, c := range w.Controllers {
+		c.esets.Promise = c.esets.Life * 7 / 8
+		c.Crash()
+		c.Start()
+	}
+	until(t, w, 10*second, "another leads", func() bool { return w.Leader() != nil })
+	return w
+}
+
+// starts counts how often the tasks of a job were started.
+func starts(w *World, s *model.Spec) int {
+	n := 0
+	for i := range s.Tasks {
+		n += w.Starts[model.TaskID{Job: s.ID, Index: i}]
+	}
+	return n
+}
+
+func TestLongOutageOfTheStateServiceKillsNothing(t *testing.T) {
+	w := promising(t, 4)
+	serve := job(model.Service, 2, nil)
+	work := job(model.Array, 12, func(s *model.Spec) { s.Team = "blue" })
+	submit(t, w, serve)
+	submit(t, w, work)
+	until(t, w, 30*second, "all that may run does", func() bool { return on(w, serve) == 2 && on(w, work) == 4 })
+	leader := w.Leader()
+	w.State.SetDown(true)
+	for range 120 {
+		w.Pass(second)
+		if w.Leader() != leader || on(w, serve) != 2 {
+			t.Fatalf("%d replicas, leader %v", on(w, serve), w.Leader())
+		}
+	}
+	if starts(w, work) != 12 || on(w, work) != 0 {
+		t.Errorf("%d starts of 12 tasks in the outage, %d run", starts(w, work), on(w, work))
+	}
+	w.State.SetDown(false)
+	until(t, w, 10*second, "done is on record", done(t, w, work))
+	if starts(w, serve) != 2 || starts(w, work) != 12 {
+		t.Errorf("starts: %d of 2 replicas, %d of 12 tasks", starts(w, serve), starts(w, work))
+	}
+}
+
+func TestLeaderCrashesInALongOutage(t *testing.T) {
+	w := promising(t, 4)
+	s := job(model.Service, 2, nil)
+	submit(t, w, s)
+	until(t, w, 30*second, "replicas run", func() bool { return on(w, s) == 2 })
+	old := w.Leader()
+	w.State.SetDown(true)
+	w.Pass(20 * second)
+	old.Crash()
+	w.Pass(5 * second)
+	old.Start() // without memory, and without the records: it promises nothing, and nobody leads
+	w.Pass(10 * second)
+	if w.Leader() != nil {
+		t.Error("somebody leads without the state service's word")
+	}
+	w.State.SetDown(false)
+	until(t, w, 20*second, "another leads", func() bool { return w.Leader() != nil })
+	until(t, w, 60*second, "replicas run", func() bool { return on(w, s) == 2 })
+}
+
+func TestLeaderAloneWithoutTheStateServiceHandsOver(t *testing.T) {
+	w := promising(t, 4)
+	w.Run = 300 * second
+	s := job(model.Array, 4, nil)
+	submit(t, w, s)
+	until(t, w, 30*second, "tasks run", func() bool { return on(w, s) == 4 })
+	old := w.Leader()
+	old.NoNet = true
+	w.Pass(2 * second)
+	for _, c := range w.Controllers {
+		if c != old {
+			if _, err := w.Cancel(c, s.ID); err != nil {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	// The world checks that it is gone in time whoever leads.
+	until(t, w, 15*second, "another leads", func() bool { l := w.Leader(); return l != nil && l != old })
+	until(t, w, w.CancelIn, "it is gone", func() bool { return on(w, s) == 0 })
+	w.Pass(60 * second)
+}
+
+func TestACancellationReachesALeaderThatCannotReadIt(t *testing.T) {
+	w := promising(t, 4)
+	w.Run = 300 * second
+	s := job(model.Array, 4, nil)
+	submit(t, w, s)
+	until(t, w, 30*second, "tasks run", func() bool { return on(w, s) == 4 })
+	leader := w.Leader()
+	leader.NoNet = true // an instant before the outage for all
+	for _, c := range w.Controllers {
+		if c != leader {
+			if _, err := w.Cancel(c, s.ID); err != nil {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	w.State.SetDown(true)
+	until(t, w, 5*second, "the leader has heard of it", func() bool { return on(w, s) == 0 })
+	if w.Leader() != leader {
+		t.Error("the leader has changed")
+	}
+}
+
+func TestOldMembersPromiseNothing(t *testing.T) {
+	w := promising(t, 4)
+	for _, c := range w.Controllers {
+		if c != w.Leader() {
+			c.esets.Promise = 0 // of a version that knows no promises
+			c.Crash()
+			c.Start()
+			break
+		}
+	}
+	s := job(model.Service, 1, nil)
+	submit(t, w, s)
+	until(t, w, 30*second, "it runs", func() bool { return on(w, s) == 1 })
+	w.State.SetDown(true)
+	w.Pass(6 * second)
+	if w.Leader() != nil {
+		t.Error("a leader acts though not all have promised")
+	}
+	w.State.SetDown(false)
+	until(t, w, 10*second, "somebody leads", func() bool { return w.Leader() != nil })
+}
+
+func TestTakeoversAreNoSlowerWithPromises(t *testing.T) {
+	took := func(w *World, crash func()) time.Duration {
+		w.Pass(5 * second)
+		at := w.Now()
+		crash()
+		until(t, w, 30*second, "somebody leads", func() bool { return w.Leader() != nil })
+		return w.Now().Sub(at)
+	}
+	one := func(w *World) time.Duration { return took(w, func() { w.Leader().Crash() }) }
+	all := func(w *World) time.Duration {
+		return took(w, func() {
+			for _, c := range w.Controllers {
+				c.Crash()
+			}
+			w.Pass(3 * second)
+			for _, c := range w.Controllers {
+				c.Start()
+			}
+		})
+	}
+	for name, how := range map[string]func(*World) time.Duration{"the leader": one, "all": all} {
+		without, with := how(deployment(t, 2)), how(promising(t, 2))
+		t.Logf("%s: %v without promises, %v with", name, without, with)
+		if with > without+time.Second {
+			t.Errorf("%s: %v without promises, %v with", name, without, with)
+		}
+	}
+}
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -520,7 +520,7 @@
 
 func TestElectionRightEndsBeforeTheLeaseCan(t *testing.T) {
 	set := election.Settings{Member: "m", Life: 4 * second, Margin: 200 * time.Millisecond, Look: second, Retry: 250 * time.Millisecond}
-	m := election.New(set, quiet)
+	m := election.New(time.Unix(0, 0), set, quiet)
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	m.Step(now, election.Tick{})
 	m.Step(now, election.Looked{})
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -45,6 +45,8 @@
 	Net  func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction on its way; !ok: nothing. Nil: nothing ever
 	Ear  Ear                                                   // nil: nobody listens
 
+	Apart bool // controllers do not reach each other
+
 	CloudMute bool // the cloud carries requests out, but its answers are lost
 	CloudFull bool // returns wait in the cloud's queue until this ends
 	Returns   int  // requests to return machines
@@ -150,6 +152,8 @@
 		c := &Controller{w: w, Member: fmt.Sprintf("tiller-%d", i), set: set, esets: el, log: log}
 		c.set.Member, c.esets.Member = c.Member, c.Member
 		w.Controllers = append(w.Controllers, c)
+	}
+	for _, c := range w.Controllers {
 		c.Start()
 	}
 	return w
@@ -170,7 +174,14 @@
 		c.set.Ledger = &own
 	}
 	c.Jobs = store.NewJobs(c.State, c.w.Keep, c.w.Limits, func(ch []store.JobChange) { c.changes = append(c.changes, ch...) }, c.log)
-	c.Elect = election.New(c.esets, c.log)
+	c.State.SetClock(func() time.Time { return c.w.now })
+	c.esets.Others = nil
+	for _, o := range c.w.Controllers {
+		if o != c {
+			c.esets.Others = append(c.esets.Others, o.Member)
+		}
+	}
+	c.Elect = election.New(c.w.now, c.esets, c.log)
 }
 
 // Crash ends a controller without a word.
@@ -448,6 +459,47 @@
 			c.later = append(c.later, func() {
 				c.election(election.Touched{Lease: e.Lease, Sent: sent, Lost: err == store.ErrLeaseOver, Err: err})
 			})
+		case election.AskPromises:
+			for _, o := range c.w.Controllers {
+				if o == c {
+					continue
+				}
+				rev, silent := c.Jobs.Revision(), c.w.now.Sub(c.State.Contact())
+				c.w.between(c, o, func() {
+					if granted, cancelled := o.promise(c.Member, e.Token, rev, silent); granted {
+						c.w.between(o, c, func() {
+							if c.token != e.Token {
+								return
+							}
+							for _, id := range cancelled {
+								c.act(control.JobEnded{ID: id, End: model.EndCancelled})
+							}
+							c.election(election.PromiseBack{Member: o.Member, Token: e.Token, Sent: sent})
+						})
+					}
+				})
+			}
+		case election.AskUnbound:
+			for _, o := range c.w.Controllers {
+				if o != c {
+					life := c.Elect
+					c.w.between(c, o, func() {
+						if s := o.Elect.State(); s != election.Leading && s != election.Claiming {
+							c.w.between(o, c, func() {
+								if c.Elect == life {
+									c.election(election.Unbound{Member: o.Member})
+								}
+							})
+						}
+					})
+				}
+			}
+		case election.Release:
+			for _, o := range c.w.Controllers {
+				if o != c {
+					c.w.between(c, o, func() { o.Elect.Released(e.Token) })
+				}
+			}
 		case election.Drop:
 			_ = c.State.Drop(e.Lease) // a lost drop only means waiting for the lease
 		case election.Elected:
@@ -459,6 +511,32 @@
 	}
 }
 
+// promise decides as package node does.
+func (c *Controller) promise(leader string, token, rev uint64, silent time.Duration) (bool, []string) {
+	if c.Jobs.Revision() == 0 || c.State.Contact().Sub(c.w.now.Add(-silent)) > 2*time.Second {
+		return false, nil
+	}
+	cancelled, all := c.Jobs.CancelledSince(rev)
+	if !all || !c.Elect.Promise(c.w.now, leader, token) {
+		return false, nil
+	}
+	return true, cancelled
+}
+
+// between carries a message from one controller to another, unless one is down or they are
+// cut off from each other.
+func (w *World) between(from, to *Controller, deliver func()) {
+	if !from.Up || !to.Up || w.Apart {
+		return
+	}
+	life := to.Elect
+	to.later = append(to.later, func() {
+		if to.Elect == life {
+			deliver()
+		}
+	})
+}
+
 func (c *Controller) takeOver() {
 	ctx := context.Background()
 	if err := c.Jobs.Refresh(ctx); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,8 +70,12 @@
 type right struct {
 	token, version uint64
 	until          time.Time
+	lease          time.Time // until when it rests on the lease at the state service
 }
 
+// onPromises tells that the right rests on the promises of the other members alone.
+func (r *right) onPromises(now time.Time) bool { return !now.Before(r.lease) && now.Before(r.until) }
+
 func (r *right) holds() bool { return r != nil && time.Now().Before(r.until) }
 
 // New makes a controller.
@@ -86,7 +90,7 @@
 	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, config.Store(p), n.jobsChanged, log)
 	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout)
 	n.workers = worker.New(o.Workers.DirectWait.D())
-	n.elect = election.New(config.Election(p, o), log)
+	n.elect = election.New(time.Now(), config.Election(p, o), log)
 	conns := p.Deployment.Limits.MaxConnections
 	if conns == 0 {
 		conns = 1000
@@ -292,11 +296,18 @@
 					store.Wait(n.ctx, 300*time.Millisecond)
 				}
 			})
+		case election.AskPromises:
+			n.askPromises(n.term, e.Token)
+		case election.AskUnbound:
+			n.askUnbound()
+		case election.Release:
+			n.release(e.Token)
 		case election.Elected:
 			n.term++
 			n.share(true)
 			n.takeOver(n.term, e)
 		case election.Deposed:
+			n.right.Store(nil) // before anybody may hear of it
 			n.term++
 			n.core = nil
 			n.share(false)
@@ -305,7 +316,10 @@
 	var r *right
 	if n.elect.State() == election.Leading {
 		old := n.right.Load()
-		r = &right{n.elect.Token(), n.elect.Version(), n.elect.RightUntil()}
+		r = &right{n.elect.Token(), n.elect.Version(), n.elect.RightUntil(), n.elect.LeaseUntil()}
+		if old != nil && old.onPromises(now) != r.onPromises(now) {
+			n.log.Info("right to act", "token", r.token, "on_promises", r.onPromises(now), "until", r.until.Sub(now))
+		}
 		if old != nil && n.core != nil && old.token == r.token && !old.until.Equal(r.until) && !now.Before(old.until) {
 			n.log.Info("right to act is back", "token", r.token, "lapsed", now.Sub(old.until))
 			n.core.Resume(now)
@@ -441,7 +455,7 @@
 	case control.Rent:
 		n.spawn(func() {
 			ev := control.RentBack{Rental: e.Rental, Outcome: control.Unknown}
-			if n.cloud.Wait(n.ctx) == nil && may() {
+			if n.cloud.Wait(n.ctx) == nil && may() && n.mayRent() {
 				names, full, err := n.cloud.Rent(e.Rental)
 				switch {
 				case full:
@@ -458,7 +472,7 @@
 		names := append([]string(nil), e.Machines...)
 		n.spawn(func() {
 			ev := control.ReturnBack{Machines: names, Outcome: control.Unknown}
-			if n.cloud.Wait(n.ctx) == nil && may() {
+			if n.cloud.Wait(n.ctx) == nil && may() && n.mayRent() {
 				if err := n.cloud.Return(names); err == nil {
 					ev.Outcome = control.OK
 				}
@@ -533,6 +547,13 @@
 	}
 }
 
+// mayRent tells that the right rests on the lease: on promises alone nothing is rented or
+// given back, since nothing of it could be put on record.
+func (n *Node) mayRent() bool {
+	r := n.right.Load()
+	return r != nil && !r.onPromises(time.Now())
+}
+
 // jobsChanged queues changes of the job records for the loop. The view is locked
 // while it tells of them, and the loop asks it: so nothing is waited for here.
 func (n *Node) jobsChanged(changes []store.JobChange) {
@@ -652,7 +673,8 @@
 	if !n.jobs.Loaded() || len(n.Types()) == 0 {
 		return false
 	}
+	// A leader that acts on promises alone shows nothing of the kind.
 	alone := n.state.Down(now) > config.Election(n.plat, n.oper).Life+outOfReach
 	h := n.heard.Load()
-	return !alone || h == nil || now.Sub(h.at) > outOfReach/2 || n.right.Load().holds()
+	return !alone || h == nil || h.onPromises || now.Sub(h.at) > outOfReach/2 || n.right.Load().holds()
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -120,7 +120,7 @@
 // Progress takes what the leader tells for display. It also shows that the
 // leader is within reach.
 func (h relayed) Progress(p *peerpb.Progress) {
-	h.n.heard.Store(&heard{p.GetMember(), time.Now()})
+	h.n.heard.Store(&heard{p.GetMember(), time.Now(), p.GetOnPromises()})
 	if h.n.right.Load().holds() {
 		return // this controller leads and knows better
 	}
@@ -138,8 +138,9 @@
 
 // heard is when a leader has last told anything.
 type heard struct {
-	leader string
-	at     time.Time
+	leader     string
+	at         time.Time
+	onPromises bool // its lease had lapsed
 }
 
 // outOfReach is how long a leader may tell nothing before it counts as out of
@@ -172,6 +173,7 @@
 			p := &peerpb.Progress{}
 			if n.core != nil {
 				p.Token, p.Member = n.elect.Token(), n.plat.Member
+				p.OnPromises = n.right.Load() != nil && n.right.Load().onPromises(time.Now())
 				n.core.EachProgress(func(id string, done, running int) {
 					p.Jobs = append(p.Jobs, &peerpb.JobProgress{Id: id, Done: uint32(done), Running: uint32(running)})
 				})
--- /dev/null
+++ b/internal/node/promises.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/peer/peerpb"
+)
+
+// promiseWait bounds how long a promise may take to come.
+const promiseWait = time.Second
+
+// served is by how much longer than a leader this controller may have been answered by the
+// state service and still promise it anything. What lies between is a leader that alone is
+// out of reach: another had better lead.
+const served = 2 * time.Second
+
+// askPromises asks all other members for their promise.
+func (n *Node) askPromises(term, token uint64) {
+	q := &peerpb.PromiseAsk{Member: n.plat.Member, Token: token, Revision: n.jobs.Revision()}
+	now := time.Now()
+	if at := n.state.Contact(); !at.IsZero() {
+		q.SilentMs = uint64(now.Sub(at).Milliseconds())
+	}
+	for _, c := range n.peers {
+		n.spawn(func() {
+			ctx, cancel := context.WithTimeout(n.ctx, promiseWait)
+			defer cancel()
+			sent := time.Now()
+			a, err := c.Promise(ctx, q)
+			if err != nil || !a.GetGranted() {
+				return
+			}
+			n.post(func(now time.Time) {
+				if n.term != term {
+					return
+				}
+				// What the other one knows to be cancelled comes before what its promise
+				// allows: docs/safety.md, "Promises".
+				for _, id := range a.GetCancelled() {
+					n.step(now, control.JobEnded{ID: id, End: model.EndCancelled})
+				}
+				n.elected(now, n.elect.Step(now, election.PromiseBack{Member: a.GetMember(), Token: token, Sent: sent}))
+			})
+		})
+	}
+}
+
+// askUnbound asks the other members whether they lead, as one that has just started.
+func (n *Node) askUnbound() {
+	for name, c := range n.peers {
+		n.spawn(func() {
+			ctx, cancel := context.WithTimeout(n.ctx, promiseWait)
+			defer cancel()
+			if a, err := c.Promise(ctx, &peerpb.PromiseAsk{Member: n.plat.Member}); err == nil && a != nil && !a.GetLeads() {
+				n.election(election.Unbound{Member: name})
+			}
+		})
+	}
+}
+
+// release tells the other members that their promises are needed no more.
+func (n *Node) release(token uint64) {
+	for _, c := range n.peers {
+		n.spawn(func() {
+			ctx, cancel := context.WithTimeout(n.ctx, promiseWait)
+			defer cancel()
+			_, err := c.Promise(ctx, &peerpb.PromiseAsk{Member: n.plat.Member, Token: token, Release: true})
+			if err != nil {
+				n.log.Debug("release not told", "err", err)
+			}
+		})
+	}
+}
+
+// Promise answers a leader that asks for this member's promise, or a member that asks who
+// leads.
+func (h relayed) Promise(ctx context.Context, q *peerpb.PromiseAsk) *peerpb.PromiseAnswer {
+	n := h.n
+	got := make(chan *peerpb.PromiseAnswer, 1)
+	f := func(now time.Time) {
+		a := &peerpb.PromiseAnswer{Member: n.plat.Member}
+		switch {
+		case q.GetToken() == 0:
+			a.Leads = n.elect.State() == election.Leading || n.elect.State() == election.Claiming
+		case q.GetRelease():
+			n.elect.Released(q.GetToken())
+		case ctx.Err() == nil:
+			a.Granted, a.Cancelled = n.promise(now, q)
+		}
+		got <- a
+	}
+	select {
+	case n.inbox <- f:
+	case <-ctx.Done():
+		return &peerpb.PromiseAnswer{Leads: true}
+	}
+	select {
+	case a := <-got:
+		return a
+	case <-ctx.Done():
+		return &peerpb.PromiseAnswer{Leads: true}
+	}
+}
+
+// promise decides whether this member promises a leader not to claim.
+func (n *Node) promise(now time.Time, q *peerpb.PromiseAsk) (granted bool, cancelled []string) {
+	// One that has not read the records since its start may have told users of
+	// cancellations, in an earlier life, that the leader does not know.
+	if n.jobs.Revision() == 0 {
+		return false, nil
+	}
+	silent := time.Duration(q.GetSilentMs()) * time.Millisecond
+	if at := n.state.Contact(); at.Sub(now.Add(-silent)) > served {
+		return false, nil
+	}
+	cancelled, all := n.jobs.CancelledSince(q.GetRevision())
+	if !all || !n.elect.Promise(now, q.GetMember(), q.GetToken()) {
+		return false, nil
+	}
+	return true, cancelled
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,8 @@
 	Relay(ctx context.Context, report []byte) *peerpb.RelayAnswer
 	// Ask answers an operator's question that another controller hands over.
 	Ask(ctx context.Context, q *peerpb.Ask) *peerpb.AskAnswer
+	// Promise answers a leader that asks for a promise, or a member that asks who leads.
+	Promise(ctx context.Context, q *peerpb.PromiseAsk) *peerpb.PromiseAnswer
 	// Progress takes what the leader tells for display.
 	Progress(p *peerpb.Progress)
 }
@@ -77,7 +79,7 @@
 		switch b := e.Body.(type) {
 		case *peerpb.Envelope_Progress:
 			h.Progress(b.Progress)
-		case *peerpb.Envelope_Relay, *peerpb.Envelope_Ask:
+		case *peerpb.Envelope_Relay, *peerpb.Envelope_Ask, *peerpb.Envelope_PromiseAsk:
 			select {
 			case room <- struct{}{}:
 			default:
@@ -86,7 +88,9 @@
 			go func() {
 				defer func() { <-room }()
 				a := &peerpb.Envelope{Id: e.GetId()}
-				if ask := e.GetAsk(); ask != nil {
+				if q := e.GetPromiseAsk(); q != nil {
+					a.Body = &peerpb.Envelope_PromiseAnswer{PromiseAnswer: h.Promise(ctx, q)}
+				} else if ask := e.GetAsk(); ask != nil {
 					a.Body = &peerpb.Envelope_AskAnswer{AskAnswer: h.Ask(ctx, ask)}
 				} else {
 					a.Body = &peerpb.Envelope_RelayAnswer{RelayAnswer: h.Relay(ctx, e.GetRelay().GetReport())}
@@ -205,6 +209,13 @@
 	return a.GetAskAnswer(), err
 }
 
+// Promise asks this member for its promise, or whether it leads. An old version does not
+// answer.
+func (c *Client) Promise(ctx context.Context, q *peerpb.PromiseAsk) (*peerpb.PromiseAnswer, error) {
+	a, err := c.ask(ctx, &peerpb.Envelope{Body: &peerpb.Envelope_PromiseAsk{PromiseAsk: q}})
+	return a.GetPromiseAnswer(), err
+}
+
 // ask sends a request and waits for its answer.
 func (c *Client) ask(ctx context.Context, q *peerpb.Envelope) (*peerpb.Envelope, error) {
 	ch := make(chan *peerpb.Envelope, 1)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -31,6 +31,10 @@
 	return &peerpb.AskAnswer{Act: true, Body: []byte("why " + q.GetExplain())}
 }
 
+func (l *leader) Promise(_ context.Context, q *peerpb.PromiseAsk) *peerpb.PromiseAnswer {
+	return &peerpb.PromiseAnswer{Granted: q.GetToken() > 6, Member: "tiller-1"}
+}
+
 func (l *leader) Progress(p *peerpb.Progress) { l.told <- p }
 
 func start(t *testing.T) (*leader, string) {
@@ -59,6 +63,9 @@
 	if a, err := c.Ask(t.Context(), &peerpb.Ask{Explain: "wk-000001"}); err != nil || string(a.GetBody()) != "why wk-000001" {
 		t.Fatalf("a question: got %v, %v", a, err)
 	}
+	if a, err := c.Promise(t.Context(), &peerpb.PromiseAsk{Member: "tiller-0", Token: 7}); err != nil || !a.GetGranted() || a.GetMember() != "tiller-1" {
+		t.Fatalf("a promise: got %v, %v", a, err)
+	}
 	for _, report := range []string{"one", "two"} {
 		a, err := c.Relay(t.Context(), []byte(report))
 		if err != nil || !a.GetAct() || string(a.GetBody()) != "answer to "+report {
--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -326,6 +326,36 @@
 	return j.loaded
 }
 
+// Revision is up to where the view holds all changes; 0: it has not been read.
+func (j *Jobs) Revision() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.loaded {
+		return 0
+	}
+	return j.rev
+}
+
+// The bounds of what is told to a leader that cannot read the records itself.
+const (
+	mostTold   = 256
+	mostLooked = 4096 // more ends than any controller learns of while such a leader may act
+)
+
+// CancelledSince lists the jobs that this controller knows to be cancelled in changes after
+// a revision. all is false where it may know of more than it can tell.
+func (j *Jobs) CancelledSince(rev uint64) (ids []string, all bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	from := max(len(j.fifo)-mostLooked, 0)
+	for _, id := range j.fifo[from:] {
+		if v := j.ended[id]; v.Version > rev && v.State == wire.StateCancelled {
+			ids = append(ids, id)
+		}
+	}
+	return ids, len(ids) < mostTold
+}
+
 // Peek tells what is known of a job without asking anybody.
 func (j *Jobs) Peek(id string) JobView {
 	j.mu.Lock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,8 +38,10 @@
 type Client struct {
 	calls, watches Transport
 	reads, writes  *rate.Limiter
+	now            func() time.Time
 	timeout        time.Duration
-	badSince       atomic.Int64 // when requests began to fail, in nanoseconds; 0: the last one was answered
+	goodAt         atomic.Pointer[time.Time] // when a request was answered last, by the steady clock; nil: never
+	badSince       atomic.Int64              // when requests began to fail, in nanoseconds; 0: the last one was answered
 }
 
 // New makes a client. The rates are this controller's share.
@@ -49,10 +51,13 @@
 
 // NewOver makes a client over given transports, one of them for watches.
 func NewOver(calls, watches Transport, timeout time.Duration) *Client {
-	return &Client{calls: calls, watches: watches, timeout: timeout,
+	return &Client{calls: calls, watches: watches, timeout: timeout, now: time.Now,
 		reads: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 5)}
 }
 
+// SetClock has the client go by another clock than the machine's.
+func (c *Client) SetClock(now func() time.Time) { c.now = now }
+
 // SetRates sets this controller's share of the published limits.
 func (c *Client) SetRates(requests, changes float64) {
 	c.reads.SetLimit(rate.Limit(requests))
@@ -85,12 +90,22 @@
 	out, err := c.calls.Call(method, uri, body, c.timeout)
 	if err == nil || rpc.Status(err) != 0 && rpc.Status(err) != fasthttp.StatusServiceUnavailable {
 		c.badSince.Store(0)
+		now := c.now()
+		c.goodAt.Store(&now)
 	} else {
-		c.badSince.CompareAndSwap(0, time.Now().UnixNano())
+		c.badSince.CompareAndSwap(0, c.now().UnixNano())
 	}
 	return out, err
 }
 
+// Contact is when a request was answered last; zero: never.
+func (c *Client) Contact() time.Time {
+	if at := c.goodAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Down tells for how long requests have failed; 0: the last one was answered.
 func (c *Client) Down(now time.Time) time.Duration {
 	if at := c.badSince.Load(); at != 0 {
