--- a/cmd/glentiller/main.go
+++ b/cmd/glentiller/main.go
@@ -105,6 +105,8 @@
 		Ledger ledgerCmd `cmd:"" help:"Who used what, and why who waited."`
 		Shares sharesCmd `cmd:"" help:"The teams' standings by fair share."`
 
+		Member memberCmd `cmd:"" help:"Where a controller stands in the election."`
+
 		Explain     explainCmd     `cmd:"" help:"Why a job's tasks wait, and why the others are where they are."`
 		Constraints constraintsCmd `cmd:"" help:"Rules of submissions."`
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -78,6 +78,10 @@
 	return nil, nil
 }
 
+func (picture) Members(context.Context) (*Member, error) {
+	return &Member{Member: "tiller-0", State: "leading", Promises: map[string]float64{"tiller-1": 2.5}}, nil
+}
+
 func (picture) State(_ context.Context, id string) (wire.JobState, error) {
 	if id == "wk-000002" {
 		return wire.StateDone, nil
@@ -183,6 +187,9 @@
 	if e, err := c.Explain("wk-000001"); err != nil || len(e.Why) != 1 {
 		t.Errorf("explain: %+v, %v", e, err)
 	}
+	if m, err := c.Member(); err != nil || m.State != "leading" || m.Promises["tiller-1"] != 2.5 {
+		t.Errorf("member: %+v, %v", m, err)
+	}
 	for id, want := range map[string]string{"wk-000002": "is over: done", "wk-000003": "ever accepted", "wk-1": "not the id"} {
 		if _, err := c.Explain(id); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("explain %s: %v", id, err)
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -15,6 +15,7 @@
 	VerifyPath    = "/v1/ledger/verify"
 	StretchesPath = "/v1/ledger/stretches"
 	SharesPath    = "/v1/shares"
+	MemberPath    = "/v1/member"
 	JobsPath      = "/v1/jobs/" // and the id, and explainEnd
 	explainEnd    = "/explain"
 )
@@ -98,6 +99,21 @@
 	Teams    []Share `json:"teams"`
 }
 
+// Member is where the controller that is asked stands in the election. Times are seconds
+// that are left.
+type Member struct {
+	Member    string             `json:"member"`
+	State     string             `json:"state"`
+	Leader    string             `json:"leader,omitempty"`
+	Token     uint64             `json:"token"`
+	Lease     float64            `json:"lease_s"`            // of the right that rests on the lease at the state service
+	Right     float64            `json:"right_s"`            // of the right, by the lease or by promises
+	Each      float64            `json:"promise_s"`          // how long members promise at a time; 0: promises are off
+	Promises  map[string]float64 `json:"promises_s"`         // promised to this leader, by member
+	Bound     float64            `json:"bound_s"`            // in which it claims nothing, for what it has promised
+	StateDown float64            `json:"state_unanswered_s"` // since when the state service has not answered it
+}
+
 // Verified is what became of checking one team's pages.
 type Verified struct {
 	Team    string `json:"team"`
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -90,6 +90,12 @@
 	return e, c.get(JobsPath+id+explainEnd, nil, e)
 }
 
+// Member tells where the controller stands in the election.
+func (c *Client) Member() (*Member, error) {
+	m := &Member{}
+	return m, c.get(MemberPath, nil, m)
+}
+
 // Verify checks all teams' pages.
 func (c *Client) Verify() ([]Verified, error) {
 	var out []Verified
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -31,6 +31,8 @@
 type Leader interface {
 	// Explain says why a job's tasks wait, as JSON; empty: it is not unfinished.
 	Explain(ctx context.Context, id string) ([]byte, error)
+	// Members tells where this controller stands in the election.
+	Members(ctx context.Context) (*Member, error)
 	// State tells how a job stands.
 	State(ctx context.Context, id string) (wire.JobState, error)
 }
@@ -140,6 +142,9 @@
 	if id, ok := strings.CutPrefix(path, JobsPath); ok && strings.HasSuffix(id, explainEnd) {
 		return s.explain(ctx, strings.TrimSuffix(id, explainEnd))
 	}
+	if path == MemberPath {
+		return s.leader.Members(ctx)
+	}
 	known := map[string][]string{LedgerPath: {"team", "class", "from", "to", "cursor"}, VerifyPath: {"cursor"}, StretchesPath: {"cursor"}, SharesPath: nil}
 	names, ok := known[path]
 	if !ok {
--- a/internal/election/promises.go
+++ b/internal/election/promises.go
@@ -118,3 +118,31 @@
 		p.move(bondFree, time.Time{})
 	}
 }
+
+// Standing is where a member stands, for operators. Times are what is left of them; negative
+// or zero: nothing.
+type Standing struct {
+	State    string
+	Leader   string
+	Token    uint64
+	Lease    time.Duration            // of the right that rests on the lease
+	Right    time.Duration            // of the right, by whatever proves it
+	Each     time.Duration            // how long members promise at a time; 0: promises are off
+	Promises map[string]time.Duration // by member, that was promised to this leader
+	Bound    time.Duration            // in which this member claims nothing, for what it promised
+}
+
+// Standing tells where this member stands.
+func (m *Machine) Standing(now time.Time) Standing {
+	s := Standing{State: m.state.String(), Leader: m.leader, Token: m.token, Each: m.set.Promise, Promises: map[string]time.Duration{}}
+	if m.state == Leading {
+		s.Lease, s.Right = m.LeaseUntil().Sub(now), m.RightUntil().Sub(now)
+		for o, until := range m.promises.given {
+			s.Promises[o] = until.Sub(now)
+		}
+	}
+	if m.promises.bound(now) {
+		s.Bound = m.promises.until.Sub(now)
+	}
+	return s
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,7 +131,7 @@
 			v.Count[best.Zone]++
 			k := 0
 			for ; n > 0 && k < per; k++ {
-				if zones[best.Zone] >= l.Want.ZoneCap() {
+				if l.Want.ZoneFull(zones, best.Zone) {
 					break
 				}
 				c.free = c.free.Sub(spec.Need)
@@ -177,7 +177,7 @@
 		if spec.Need.GPU == 0 && v.ForGPU(c.Type, c.Spot) {
 			continue
 		}
-		if !spec.Need.Fits(c.free) || zones[c.Zone] >= w.ZoneCap() || !w.Rules.Offer(c.Type, c.Zone, c.Spot) || c.by == w && c.of >= w.PerMachine() {
+		if !spec.Need.Fits(c.free) || w.ZoneFull(zones, c.Zone) || !w.Rules.Offer(c.Type, c.Zone, c.Spot) || c.by == w && c.of >= w.PerMachine() {
 			continue
 		}
 		if c.by != w {
@@ -216,7 +216,7 @@
 			}
 			for _, z := range t.Zones {
 				o := Offer{t.Name, z, spot}
-				if spec.Zone != "" && z != spec.Zone || now.Before(v.Refused[o]) || zones[z] >= w.ZoneCap() || !w.Rules.Offer(t, z, spot) {
+				if spec.Zone != "" && z != spec.Zone || now.Before(v.Refused[o]) || w.ZoneFull(zones, z) || !w.Rules.Offer(t, z, spot) {
 					continue
 				}
 				quiet := 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,12 @@
 	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, config.Store(p), n.jobsChanged, log)
 	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout)
 	n.workers = worker.New(o.Workers.DirectWait.D())
-	n.elect = election.New(time.Now(), config.Election(p, o), log)
+	set := config.Election(p, o)
+	n.elect = election.New(time.Now(), set, log)
+	if o.Promises != nil && set.Promise == 0 {
+		log.Warn("promises stay off: workers' leases, the leader's lease and 3 s are not below cancel_s", "lease_s", p.Deployment.Workers.Lease,
+			"leader_lease", set.Life, "cancel_s", p.Deployment.Workers.Cancel)
+	}
 	conns := p.Deployment.Limits.MaxConnections
 	if conns == 0 {
 		conns = 1000
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/glentiller/glentiller/internal/admin"
 	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
 	"github.com/glentiller/glentiller/internal/model"
@@ -34,10 +35,14 @@
 			if err != nil || !a.GetGranted() {
 				return
 			}
-			n.post(func(now time.Time) {
+			n.post(func(time.Time) {
 				if n.term != term {
 					return
 				}
+				// Read anew: the loop's moment may be from before the answer came. Guards
+				// against a promise that is taken after the right has lapsed, since the
+				// process was held up in between.
+				now := time.Now()
 				// What the other one knows to be cancelled comes before what its promise
 				// allows: docs/safety.md, "Promises".
 				for _, id := range a.GetCancelled() {
@@ -62,6 +67,28 @@
 	}
 }
 
+// Members tells where this controller stands in the election.
+func (n *Node) Members(ctx context.Context) (*admin.Member, error) {
+	got := make(chan election.Standing, 1)
+	f := func(time.Time) { got <- n.elect.Standing(time.Now()) }
+	select {
+	case n.inbox <- f:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case s := <-got:
+		m := &admin.Member{Member: n.plat.Member, State: s.State, Leader: s.Leader, Token: s.Token, Lease: s.Lease.Seconds(), Right: s.Right.Seconds(), Each: s.Each.Seconds(),
+			Promises: map[string]float64{}, Bound: s.Bound.Seconds(), StateDown: n.state.Down(time.Now()).Seconds()}
+		for o, left := range s.Promises {
+			m.Promises[o] = left.Seconds()
+		}
+		return m, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // release tells the other members that their promises are needed no more.
 func (n *Node) release(token uint64) {
 	for _, c := range n.peers {
@@ -81,7 +108,10 @@
 func (h relayed) Promise(ctx context.Context, q *peerpb.PromiseAsk) *peerpb.PromiseAnswer {
 	n := h.n
 	got := make(chan *peerpb.PromiseAnswer, 1)
-	f := func(now time.Time) {
+	f := func(time.Time) {
+		// Read anew: the loop's moment may be from before the leader has asked, and a
+		// promise that is counted from there would end too early.
+		now := time.Now()
 		a := &peerpb.PromiseAnswer{Member: n.plat.Member}
 		switch {
 		case q.GetToken() == 0:
--- a/internal/sched/judge.go
+++ b/internal/sched/judge.go
@@ -123,8 +123,14 @@
 	return most
 }
 
-// ZoneCap is how many tasks of the want's job may be in one zone.
-func (w *Want) ZoneCap() int { return zoneCap(w.Job.Spec, w.Rules) }
+// ZoneFull tells whether as many of the want's tasks as may be are in a zone, by the given
+// count. Most jobs bound nothing, and cost no look at the count.
+func (w *Want) ZoneFull(zones map[string]int, zone string) bool {
+	if !w.Job.Spec.Spread && w.Rules == nil {
+		return false
+	}
+	return zones[zone] >= zoneCap(w.Job.Spec, w.Rules)
+}
 
 // PerMachine is how many tasks of the want's job may be on one machine.
 func (w *Want) PerMachine() int {
@@ -177,7 +183,7 @@
 	switch {
 	case !w.Job.Spec.Need.Fits(nd.Free):
 		return NoRoom
-	case w.Zones[nd.Machine.Zone] >= w.ZoneCap():
+	case w.ZoneFull(w.Zones, nd.Machine.Zone):
 		return ZoneFull
 	case w.Rules.machineFull(nd.Machine):
 		return MachineFull
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -584,27 +584,29 @@
 	spec := w.Job.Spec
 	var fits []*Node
 	for _, nd := range p.Nodes {
-		if nd.never(w.Job, w.Rules, zone) == Fits && nd.now(w) == Fits && st.takes(nd, spec) {
+		if spec.Need.Fits(nd.Free) && nd.never(w.Job, w.Rules, zone) == Fits && st.takes(nd, spec) {
 			fits = append(fits, nd)
 		}
 	}
+	bounded := spec.Spread || w.Rules != nil
 	var got []Placement
 	for len(got) < n {
 		var best *Node
 		var bestEff float64
 		choice := model.Choice{Of: len(fits)}
 		for _, nd := range fits {
-			if nd.now(w) != Fits {
+			// Room alone for most jobs: this is where a pass spends its time.
+			if !spec.Need.Fits(nd.Free) || bounded && nd.now(w) != Fits {
 				continue
 			}
 			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
 			power := Efficiency(share(nd.Machine, used), s.IdleShare)
 			image := nd.hasImage(spec)
-			wish := 0.0
+			eff, wish := power, 0.0
 			if w.Rules != nil {
 				wish = w.Rules.wish(nd, image)
+				eff += wish
 			}
-			eff := power + wish
 			// Where the efficiency is equal: the image, then the cheaper kind.
 			better := eff > bestEff+1e-9
 			if best != nil && !better && eff > bestEff-1e-9 {
@@ -662,7 +664,7 @@
 		var bestSet []int
 		var bestLoss time.Duration
 		for _, nd := range p.Nodes {
-			if nd.never(w.Job, w.Rules, lock) != Fits || zones[nd.Machine.Zone] >= zoneCap(spec, w.Rules) || w.Rules.machineFull(nd.Machine) || !st.takes(nd, spec) {
+			if nd.never(w.Job, w.Rules, lock) != Fits || w.ZoneFull(zones, nd.Machine.Zone) || w.Rules.machineFull(nd.Machine) || !st.takes(nd, spec) {
 				continue
 			}
 			free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
