A broken account keeps nobody from leading and no job from ending; less said twice

Cause, found by reading the change once more: the end of a job waited for its team's account for as long as that could not be read, and a new leader refused to start with an unreadable one. A takeover also had every team's closed pages read at once.

Change: an end waits 2 s at most; unreadable accounts are left as they are, changed ones gone on from. Pages are looked through one team in five seconds, after one was closed. A weight of a team that is not there is refused at the start. Job ids, a job's own fields, the way into the loop, folding's bounds and the week's result are each written once; a save is asked about the ledger only where one is kept; no text is made for draining machines in a pass.

--- a/cmd/glentiller/constraints.go
+++ b/cmd/glentiller/constraints.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	if err := constraint.Check(set, spec, constraint.World{Types: types, Zones: func(string) ([]string, bool) { return nil, false }}); err != nil {
+	if err := constraint.Check(set, spec, constraint.World{Types: types}); err != nil {
 		return err
 	}
 	var may, not []string
@@ -109,7 +109,7 @@
 		switch {
 		case !ok:
 			not = append(not, fmt.Sprintf("%s: %s", class, by))
-		case class.Spot && c.NoSpot || !spec.AllowsType(class.Type.Name) || c.Field != "" && c.Field != class.Zone || !spec.Need.Fits(class.Type.Cap):
+		case !constraint.Takes(spec, class):
 			not = append(not, fmt.Sprintf("%s: the job's other fields", class))
 		default:
 			may = append(may, fmt.Sprintf("%s, wishes %+g (with the image %+g)", class, set.Wish(class, false), set.Wish(class, true)))
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -142,7 +142,7 @@
 	folds := 0
 	b.between = func() {
 		for team, pages := range b.pages {
-			if into, from, n := ledger.Fold(set.Seal, pages, now, set.Keep, 12, func(*ledger.Page) bool { return true }); n > 0 && folds < 3 {
+			if into, from, n := ledger.Fold(&set, pages, now, 12); n > 0 && folds < 3 {
 				b.pages[team] = append(pages[:from:from], append([]ledger.Stored{{Page: *into}}, pages[from+n:]...)...)
 				folds++
 				return
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
@@ -171,7 +172,7 @@
 
 // explain has the leader say why a job's tasks wait.
 func (s *Server) explain(ctx context.Context, id string) (any, error) {
-	if !wire.JobIDValid(id) {
+	if !model.JobIDValid(id) {
 		return nil, fmt.Errorf("%w: %q is not the id of a job", errBad, id)
 	}
 	if err := s.wait(ctx); err != nil {
@@ -202,6 +203,11 @@
 		return nil, err
 	}
 	list, err := s.records.Accounts(ctx)
+	for _, r := range list {
+		if r.Err != nil && err == nil {
+			err = fmt.Errorf("the account of team %q: %w", r.Open.Team, r.Err)
+		}
+	}
 	slices.SortFunc(list, func(a, b ledger.OnRecord) int { return strings.Compare(a.Open.Team, b.Open.Team) })
 	return list, err
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -105,6 +105,34 @@
 	check(reflect.TypeOf(*want))
 }
 
+func TestPartsThatAreOffByDefault(t *testing.T) {
+	for text, want := range map[string]string{
+		"<fair-share/>":                        "needs <ledger>",
+		"<ledger><settle>1h</settle></ledger>": "ledger/settle",
+		"<ledger><setle>1s</setle></ledger>":   "setle",
+		"<admin/>":                             "token-file",
+		"<ledger/><fair-share><gpu-weight>-1</gpu-weight></fair-share>":                            "fair-share/gpu-weight",
+		`<ledger/><fair-share><weight team="a">1</weight><weight team="a">2</weight></fair-share>`: "none or several",
+	} {
+		if _, err := parseOperator([]byte("<glentiller>" + text + "</glentiller>")); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v, want %q", text, err, want)
+		}
+	}
+	p, err := ReadPlatform(write(t, "good.toml", example(t, "example.toml")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for team, good := range map[string]bool{"vision": true, "visoin": false} {
+		o, err := parseOperator([]byte(`<glentiller><ledger/><fair-share><weight team="` + team + `">3</weight></fair-share></glentiller>`))
+		if err != nil || (Agree(p, o) == nil) != good {
+			t.Errorf("a weight of %s: %v, %v", team, err, Agree(p, o))
+		}
+		if good && (Accounting(p, o).Weights[team] != 3 || Accounting(p, o).Half != 24*time.Hour) {
+			t.Errorf("%+v", Accounting(p, o))
+		}
+	}
+}
+
 func TestOperatorSettingsAreStrict(t *testing.T) {
 	for text, want := range map[string]string{
 		"<glentiller><fleet><keep-idel>1s</keep-idel></fleet></glentiller>":                      "keep-idel",
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/glentiller/glentiller/internal/admin"
@@ -61,20 +63,30 @@
 			// Every team's account is one change. Guards against settlements that
 			// take more than their part of the state service's changes.
 			Settle: max(o.Ledger.Settle.D(), Seconds(float64(len(teams))/(changesPart*max(limits.WriteRPS, 1e-3))))},
-		Day:      func(now time.Time) time.Time { return now },
-		FitsPage: func(p *ledger.Page) bool { return ledger.Size(p.Team, p.Cells) <= most }}
+		Day: func(now time.Time) time.Time { return now }}
 	for _, t := range teams {
 		// By default what a team is guaranteed; without a guarantee a CPU.
 		l.Weights[t.Name] = max(t.Guarantee.CPU+share.GPUWeight*t.Guarantee.GPU, 1)
 	}
 	for _, w := range share.Weights {
-		if _, ok := l.Weights[w.Team]; ok {
-			l.Weights[w.Team] = w.Value
-		}
+		l.Weights[w.Team] = w.Value
 	}
 	return l
 }
 
+// Agree checks what the operators' file says against the platform's.
+func Agree(p *Platform, o *Operator) error {
+	if o.FairShare == nil {
+		return nil
+	}
+	for _, w := range o.FairShare.Weights {
+		if !slices.ContainsFunc(p.Deployment.Teams, func(t team) bool { return t.Name == w.Team }) {
+			return fmt.Errorf("fair-share: there is no team %q to have a weight", w.Team)
+		}
+	}
+	return nil
+}
+
 // AdminServer puts together what the operators' interface works by.
 func AdminServer(p *Platform, o *Operator) admin.Settings {
 	s := admin.Settings{Token: o.Admin.Token, Orders: o.FairShare != nil, Rate: max(adminPart*p.StateLimits().RPS, 1)}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -291,10 +291,18 @@
 		if o.Ledger == nil {
 			errs = append(errs, errors.New("fair-share: needs <ledger>, which knows who used what"))
 		}
+		weight := func(name string, v float64) {
+			if !(v >= 0 && v <= 1e9) {
+				errs = append(errs, fmt.Errorf("fair-share/%s: %v is not between 0 and 1e9", name, v))
+			}
+		}
+		weight("gpu-weight", f.GPUWeight)
+		weight("memory-weight", f.MemWeight)
 		named := map[string]bool{}
-		for _, w := range append(f.Weights, Weight{"gpu-weight", f.GPUWeight}, Weight{"memory-weight", f.MemWeight}) {
-			if !(w.Value >= 0 && w.Value <= 1e9) || w.Team == "" || named[w.Team] {
-				errs = append(errs, fmt.Errorf("fair-share: the weight %v of %q is not a number from 0 to 1e9, has no team, or is there twice", w.Value, w.Team))
+		for _, w := range f.Weights {
+			weight(fmt.Sprintf("weight of team %q", w.Team), w.Value)
+			if w.Team == "" || named[w.Team] {
+				errs = append(errs, fmt.Errorf("fair-share/weight: team %q has none or several", w.Team))
 			}
 			named[w.Team] = true
 		}
--- a/internal/constraint/check.go
+++ b/internal/constraint/check.go
@@ -31,10 +31,22 @@
 type World struct {
 	Types []model.MachineType
 	// Zones tells in which zones another job's tasks may be; ok is false for a job that
-	// nothing keeps to any.
+	// nothing keeps to any. nil: nothing is known of other jobs.
 	Zones func(job string) (zones []string, ok bool)
 }
 
+func (w World) zones(job string) ([]string, bool) {
+	if w.Zones == nil {
+		return nil, false
+	}
+	return w.Zones(job)
+}
+
+// Takes tells whether a job's own fields, its rules aside, allow it a class of machines.
+func Takes(spec *model.Spec, c Class) bool {
+	return (spec.Zone == "" || spec.Zone == c.Zone) && (spec.Spot || !c.Spot) && spec.AllowsType(c.Type.Name) && spec.Need.Fits(c.Type.Cap)
+}
+
 // Classes lists the classes of machines that can be rented.
 func Classes(types []model.MachineType) (out []Class) {
 	for i := range types {
@@ -53,8 +65,7 @@
 	}
 	zones := []string{}
 	for _, c := range Classes(types) {
-		if _, ok := set.Allows(c); ok && (spec.Zone == "" || spec.Zone == c.Zone) && (spec.Spot || !c.Spot) && spec.AllowsType(c.Type.Name) &&
-			spec.Need.Fits(c.Type.Cap) && !slices.Contains(zones, c.Zone) {
+		if _, ok := set.Allows(c); ok && Takes(spec, c) && !slices.Contains(zones, c.Zone) {
 			zones = append(zones, c.Zone)
 		}
 	}
@@ -117,7 +128,7 @@
 		it := item{what: k.Clause.String(), far: k.Job}
 		if k.Same {
 			it.near, it.far = k.Job, ""
-			if zones, ok := w.Zones(k.Job); ok {
+			if zones, ok := w.zones(k.Job); ok {
 				it.allows = make([]bool, len(p.classes))
 				for i, c := range p.classes {
 					it.allows[i] = slices.Contains(zones, c.Zone)
--- a/internal/constraint/constraint_test.go
+++ b/internal/constraint/constraint_test.go
@@ -24,8 +24,6 @@
 	m.Run()
 }
 
-func nowhere(string) ([]string, bool) { return nil, false }
-
 // drawn is a job with rules over a small catalogue, and what each rule says, worked out
 // beside the parser.
 type drawn struct {
@@ -192,7 +190,7 @@
 		for range 5 {
 			at := time.Now()
 			if set, err := Parse(text); err == nil {
-				err = Check(set, spec, World{Types: types, Zones: nowhere})
+				err = Check(set, spec, World{Types: types})
 				if name == "all zones but one" && err == nil {
 					t.Errorf("%s: accepted", name)
 				}
@@ -230,7 +228,7 @@
 			_, _ = set.Allows(c)
 			set.Wish(c, true)
 		}
-		_ = Check(set, &model.Spec{Tasks: 3, Shape: model.Gang, Need: model.Resources{CPU: 1}}, World{Types: types, Zones: nowhere}) // any verdict, in bounded time
+		_ = Check(set, &model.Spec{Tasks: 3, Shape: model.Gang, Need: model.Resources{CPU: 1}}, World{Types: types}) // any verdict, in bounded time
 	})
 }
 
@@ -249,7 +247,7 @@
 		b.Run(strings.ReplaceAll(name, " ", "_"), func(b *testing.B) {
 			for b.Loop() {
 				if set, err := Parse(text); err == nil {
-					_ = Check(set, spec, World{Types: types, Zones: nowhere}) // refused or not: the time counts
+					_ = Check(set, spec, World{Types: types}) // refused or not: the time counts
 				}
 			}
 		})
--- a/internal/constraint/parse.go
+++ b/internal/constraint/parse.go
@@ -14,6 +14,8 @@
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/glentiller/glentiller/internal/model"
 )
 
 // The bounds of a text. They bound the time and memory of everything behind them.
@@ -191,7 +193,7 @@
 			return at(c.Pos, "more than %d clauses name other jobs", maxKin)
 		}
 		job := c.Same + c.Apart
-		if !jobID(job) {
+		if !model.JobIDValid(job) {
 			return at(c.Pos, "%q is not the id of a job, like wk-000412", job)
 		}
 		s.Kin = append(s.Kin, Kin{from, job, c.Same != "", c.Same != "" || c.By == "zone", weight})
@@ -217,12 +219,6 @@
 	return nil
 }
 
-// jobID tells whether a text has the form of job ids.
-func jobID(id string) bool {
-	digits, ok := strings.CutPrefix(id, "wk-")
-	return ok && len(digits) >= 6 && len(id) <= 40 && strings.Trim(digits, "0123456789") == ""
-}
-
 // check looks whether values fit their attributes.
 func (e *either) check(wish bool) error {
 	for _, b := range e.Any {
--- a/internal/control/accounting.go
+++ b/internal/control/accounting.go
@@ -14,10 +14,9 @@
 // time; docs/safety.md, "Ledger", argues why nothing is charged twice.
 type Ledger struct {
 	ledger.Settings
-	FairShare bool                            // teams' shares order what goes beyond guarantees
-	Weights   map[string]float64              // by team
-	Day       func(now time.Time) time.Time   // the time of day at a moment of the steady clock: it names pages
-	FitsPage  func(p *ledger.Page) (fit bool) // a closed page within the limits of the state service
+	FairShare bool                          // teams' shares order what goes beyond guarantees
+	Weights   map[string]float64            // by team
+	Day       func(now time.Time) time.Time // the time of day at a moment of the steady clock: it names pages
 }
 
 // accounts is a leader's accounting.
@@ -37,6 +36,7 @@
 
 	toFold  map[string]bool // teams whose pages may have become old enough
 	folding bool
+	foldAt  time.Time // none is looked through before this
 }
 
 // wait is why a job's tasks have been waiting since when.
@@ -57,7 +57,10 @@
 		bands: map[string]int{}, toFold: map[string]bool{}}
 	var last ledger.Open
 	for _, r := range snap.Accounts {
-		c.acc.toFold[r.Open.Team] = true
+		if r.Err != nil {
+			c.log.Error("a team's account cannot be read, so nothing is charged to it", "team", r.Open.Team, "err", r.Err)
+			continue
+		}
 		if r.Open.Token >= last.Token {
 			last.Token = r.Open.Token
 			if r.Open.At.After(last.At) {
@@ -65,8 +68,8 @@
 			}
 		}
 	}
-	if last.Token == 0 {
-		return // the ledger begins here
+	if last.Token == 0 || last.Token >= c.token {
+		return // the ledger begins here, or somebody has put another one in its place
 	}
 	s := &ledger.Stretch{From: last.At, To: set.Day(now), Token: c.token, Without: c.token - last.Token - 1}
 	c.log.Info("not accounted", "from", s.From, "to", s.To, "leaders_without_ledger", s.Without)
@@ -192,18 +195,33 @@
 		c.saves = append(c.saves, acc.late...)
 		acc.late = nil
 	}
+	acc.held = slices.DeleteFunc(acc.held, func(s Save) bool {
+		j := c.jobs[s.Job]
+		if j != nil && acc.book.HoldsUp(now, j.Spec.Team) {
+			return false
+		}
+		if j != nil {
+			c.saves = append(c.saves, s)
+		}
+		return true
+	})
 	if !acc.reading && !now.Before(acc.readAt) {
 		if teams := acc.book.Doubts(); len(teams) > 0 {
 			acc.reading = true
 			c.emit(ReadAccounts{teams})
 		}
 	}
-	if len(acc.toFold) > 0 && !acc.folding {
-		acc.folding = true
+	if len(acc.toFold) > 0 && !acc.folding && !now.Before(acc.foldAt) {
+		// Pages of all teams are closed at the same time. Guards against reading them
+		// all at once, or when a leader has just taken over.
+		acc.folding, acc.foldAt = true, now.Add(foldEvery)
 		c.emit(ReadPages{slices.Min(slices.Collect(maps.Keys(acc.toFold)))})
 	}
 }
 
+// foldEvery is the time between looks through teams' closed pages.
+const foldEvery = 5 * time.Second
+
 // chargeAll charges what runs up to the last message of its machine.
 func (c *Core) chargeAll(now time.Time) {
 	for _, m := range c.machines {
@@ -257,8 +275,11 @@
 // settles tells whether a save is the end of a job that goes with a settlement of its
 // team's account.
 func (c *Core) settles(s *Save) (team string, ok bool) {
+	if c.acc == nil || s.Kind != EndJob || s.Solo || c.set.TxnOps < endOps+useOps {
+		return "", false
+	}
 	j := c.jobs[s.Job]
-	if c.acc == nil || s.Kind != EndJob || s.Solo || j == nil || c.set.TxnOps < endOps+useOps {
+	if j == nil {
 		return "", false
 	}
 	return j.Spec.Team, true
@@ -270,9 +291,12 @@
 // heldUp tells whether a save has to wait: the end of a job whose team's last settlement
 // is on its way or in doubt. It returns the save to send first; -1: the record is being
 // read.
-func (c *Core) heldUp(s *Save) (instead int, waits bool) {
+func (c *Core) heldUp(now time.Time, s *Save) (instead int, waits bool) {
+	if c.acc == nil || s.Kind != EndJob || len(c.acc.late) > 0 {
+		return 0, false
+	}
 	j := c.jobs[s.Job]
-	if c.acc == nil || s.Kind != EndJob || j == nil || !c.acc.book.Busy(j.Spec.Team) || len(c.acc.late) > 0 {
+	if j == nil || !c.acc.book.HoldsUp(now, j.Spec.Team) {
 		return 0, false
 	}
 	return slices.IndexFunc(c.saves, func(o Save) bool { return o.Kind == SaveUse && o.Use != nil && o.Team == j.Spec.Team }), true
@@ -299,7 +323,7 @@
 const useOps = 2
 
 // settled takes the outcome of a settlement, or of a fold.
-func (c *Core) settled(s Save, ev SaveBack) {
+func (c *Core) settled(now time.Time, s Save, ev SaveBack) {
 	acc := c.acc
 	switch {
 	case s.Kind == FoldUse:
@@ -315,7 +339,7 @@
 			acc.toFold[s.Use.Open.Team] = true
 		}
 	default:
-		acc.book.Refused(s.Use.Open.Team)
+		acc.book.Refused(now, s.Use.Open.Team)
 	}
 }
 
@@ -330,16 +354,12 @@
 	acc := c.acc
 	acc.reading = false
 	acc.readAt = now.Add(doubtWait)
-	if len(ev.Accounts) > 0 {
-		for _, s := range acc.held {
-			if c.jobs[s.Job] != nil {
-				c.saves = append(c.saves, s)
-			}
-		}
-		acc.held = nil
-	}
 	for team, r := range ev.Accounts {
-		s := acc.book.Read(team, r)
+		s, foreign := acc.book.Read(team, r)
+		if foreign {
+			c.log.Error("a team's account is not what any leader wrote; going on from there", "team", team, "settled", r.Open.Settled, "token", r.Open.Token)
+			continue
+		}
 		c.log.Info("ledger settlement was in doubt", "team", team, "carried_out", s == nil, "settled", r.Open.Settled)
 		if s != nil {
 			c.saves = append(c.saves, Save{Kind: SaveUse, Team: team, Use: s})
@@ -352,7 +372,7 @@
 
 func (c *Core) pagesIn(now time.Time, ev PagesIn) {
 	acc, set := c.acc, c.acc.set
-	into, from, n := ledger.Fold(set.Seal, ev.Pages, set.Day(now), set.Keep, c.set.TxnOps, set.FitsPage)
+	into, from, n := ledger.Fold(&set.Settings, ev.Pages, set.Day(now), c.set.TxnOps)
 	if n == 0 {
 		delete(acc.toFold, ev.Team)
 		acc.folding = false
--- a/internal/control/accounting_test.go
+++ b/internal/control/accounting_test.go
@@ -77,7 +77,7 @@
 
 func accounting() *Ledger {
 	l := &Ledger{Settings: ledger.Settings{Settle: 13 * time.Second, Half: time.Hour, Most: 2048, Seal: ledger.NewSeal(nil)}, FairShare: true, Weights: map[string]float64{},
-		Day: func(now time.Time) time.Time { return now }, FitsPage: func(*ledger.Page) bool { return true }}
+		Day: func(now time.Time) time.Time { return now }}
 	for i := range 16 {
 		l.Weights[fmt.Sprintf("team-%02d", i)] = 1
 	}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -479,7 +479,7 @@
 	first, other := -1, -1
 	for i := range c.saves {
 		s := &c.saves[i]
-		instead, waits := c.heldUp(s)
+		instead, waits := c.heldUp(now, s)
 		if waits && instead < 0 {
 			continue
 		}
@@ -547,7 +547,7 @@
 	for _, s := range saves {
 		switch s.Kind {
 		case SaveUse, FoldUse:
-			c.settled(s, ev)
+			c.settled(now, s, ev)
 		case SaveMachine:
 			if m := c.machines[s.Machine.Machine]; m != nil && ev.Outcome == OK {
 				m.Registered = true
@@ -587,7 +587,7 @@
 	case SaveUse:
 		c.unsettled(now, saves[0])
 	case FoldUse:
-		c.settled(saves[0], SaveBack{Outcome: Rejected})
+		c.settled(now, saves[0], SaveBack{Outcome: Rejected})
 	}
 	if j := c.jobs[saves[0].Job]; j != nil && (saves[0].Kind == EndJob || saves[0].Kind == EndDoomed) {
 		j.Set(model.JobActive)
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -144,7 +144,7 @@
 	if r != nil {
 		set = r.set
 	}
-	if err := constraint.Check(set, s, constraint.World{Types: c.types, Zones: func(string) ([]string, bool) { return nil, false }}); err != nil && len(c.types) > 0 {
+	if err := constraint.Check(set, s, constraint.World{Types: c.types}); err != nil && len(c.types) > 0 {
 		say(&e.Change, "nothing in the catalogue takes it now: %v", err)
 	}
 }
@@ -154,6 +154,9 @@
 	counts := map[string]int{}
 	for _, m := range c.machines {
 		if why := c.unplaceable(now, m); why != "" {
+			if m.Why != "" {
+				why += ": " + m.Why
+			}
 			counts[why]++
 		}
 	}
@@ -182,8 +185,7 @@
 func (c *Core) explainComing(now time.Time, j *model.Job, w *sched.Want, e *Explanation, say func(list *[]string, format string, args ...any)) {
 	s := j.Spec
 	useful := func(t *model.MachineType, zone string, spot bool) bool {
-		return s.Need.Fits(t.Cap) && s.AllowsType(t.Name) && (s.Zone == "" || s.Zone == zone) && (s.Spot || !spot) && w.Rules.Offer(t, zone, spot) &&
-			(s.Need.GPU > 0 || !c.forGPU(t, spot))
+		return constraint.Takes(s, constraint.Class{Type: t, Zone: zone, Spot: spot}) && w.Rules.Offer(t, zone, spot) && (s.Need.GPU > 0 || !c.forGPU(t, spot))
 	}
 	coming := map[string]int{}
 	for _, m := range c.machines {
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -102,7 +102,7 @@
 	case !m.Notice.IsZero():
 		return "the cloud has given notice"
 	case m.State == model.Draining || m.State == model.Returning:
-		return "given back: " + m.Why
+		return "given back"
 	case m.Unsure || m.State != model.Ready:
 		return "not known yet what runs on it since the takeover"
 	case !m.Registered:
@@ -257,7 +257,6 @@
 	if !mayStart(j) || j.Waiting() == 0 || !c.readable(j) {
 		return
 	}
-	rules := c.rulesOf(j)
 	// A task of a job from before the takeover may sit on a machine that is not
 	// settled yet; a job that was accepted later cannot.
 	if c.unsure > 0 && j.Version <= c.rev && !j.Fresh || now.Before(j.NotBefore) {
@@ -267,6 +266,7 @@
 	if s.Shape == model.Gang && len(j.Live) > 0 {
 		return // the attempt before is not gone yet
 	}
+	rules := c.rulesOf(j)
 	zones := map[string]int{}
 	for _, a := range j.Live {
 		zones[a.Machine.Zone]++
--- a/internal/control/rules.go
+++ b/internal/control/rules.go
@@ -60,7 +60,7 @@
 	if r.set == nil || len(c.types) == 0 {
 		return
 	}
-	err := constraint.Check(r.set, j.Spec, constraint.World{Types: c.types, Zones: func(string) ([]string, bool) { return nil, false }})
+	err := constraint.Check(r.set, j.Spec, constraint.World{Types: c.types})
 	if stuck := err != nil; stuck != r.stuck {
 		r.stuck = stuck
 		if stuck {
--- a/internal/control/rulesets_test.go
+++ b/internal/control/rulesets_test.go
@@ -98,7 +98,7 @@
 			t.Errorf("%d: %q: %v", r.N, r.Rules, err)
 			continue
 		}
-		err = constraint.Check(set, spec, constraint.World{Types: types, Zones: func(string) ([]string, bool) { return nil, false }})
+		err = constraint.Check(set, spec, constraint.World{Types: types})
 		if r.Refused != nil {
 			count["refused"]++
 			var no *constraint.Contradiction
--- a/internal/fake/ledger_test.go
+++ b/internal/fake/ledger_test.go
@@ -13,6 +13,7 @@
 	"github.com/glentiller/glentiller/internal/ledger"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/wire"
 )
 
 // accounted is the small deployment with a ledger; change adapts its settings.
@@ -132,6 +133,31 @@
 	}
 }
 
+// The ledger starts and stops nothing: jobs end whatever has become of their team's account.
+func TestABrokenAccountKeepsNoJobFromEnding(t *testing.T) {
+	for what, value := range map[string][]byte{
+		"of a version to come":   []byte("\x81\xa1v\x02"),
+		"changed by hand":        wire.AppendOpenPage(nil, &ledger.Open{Team: "red", Number: 1, Settled: 900, Token: 77, From: time.Unix(0, 0), At: time.Unix(0, 0)}),
+		"unreadable, by a write": []byte("\x81\xa1n\xa1x"),
+	} {
+		w := accounted(t, 2, nil)
+		first := job(model.Array, 2, nil)
+		submit(t, w, first)
+		until(t, w, 60*second, "done", done(t, w, first))
+		w.State.Plant("use/o/red", value)
+		s := job(model.Array, 2, nil)
+		submit(t, w, s)
+		until(t, w, 60*second, what+": done under the leader that had settled it", done(t, w, s))
+		w.Leader().Crash()
+		until(t, w, 20*second, what+": another leads", func() bool { return w.Leader() != nil })
+		s = job(model.Array, 2, nil)
+		if err := w.Submit(w.Leader(), s); err != nil {
+			t.Fatal(err)
+		}
+		until(t, w, 60*second, what+": done under the next leader", func() bool { return poll(t, w.Leader(), s.ID) == wire.StateDone })
+	}
+}
+
 // The design's crack: a team without much of a guarantee submits many tight jobs, which
 // go first in the slack order whatever others wait. The bands of fair share let a team
 // that has had less go first in what goes beyond guarantees.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -299,7 +299,7 @@
 func (s *Server) about(c *fasthttp.RequestCtx, id string, wait time.Duration, ask func(context.Context, string) (store.JobView, error),
 	answer func(v store.JobView) []byte) {
 	var v store.JobView
-	if wire.JobIDValid(id) {
+	if model.JobIDValid(id) {
 		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		defer cancel()
 		var err error
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -17,7 +17,7 @@
 	Doubted                  // the record is not what the settlement went by: it has to be read
 )
 
-func (s State) String() string { return [...]string{"none", "clean", "open", "sent", "doubted"}[s] }
+func (s State) String() string { return [...]string{"none", "clean", "charged", "sent", "doubted"}[s] }
 
 var moves = map[State][]State{
 	0:       {Clean},
@@ -35,6 +35,8 @@
 	version uint64 // of that record; 0: there is none
 
 	next  *Settlement
+	doubt time.Time // since when its record has to be read
+	shut  bool      // its record cannot be read by this version: it is left as it is
 	delta []Cell    // charged, and neither on record nor on its way
 	since time.Time // steady: decayed use is right as of then
 }
@@ -68,7 +70,7 @@
 	Open    Open
 	Closed  *Page // a page that it closes
 	sentAt  time.Time
-	charges int // classes that it charges
+	charges []Cell // what it charges
 }
 
 // Settings are what accounts go by.
@@ -97,7 +99,7 @@
 	b := &Book{set: set, token: token, start: now, teams: map[string]*Account{}, due: now.Add(set.Settle / dueParts)}
 	for _, r := range records {
 		a := b.account(now, r.Open.Team)
-		a.open, a.version = r.Open, r.Version
+		a.open, a.version, a.shut = r.Open, r.Version, r.Err != nil
 	}
 	return b
 }
@@ -106,6 +108,7 @@
 type OnRecord struct {
 	Open    Open
 	Version uint64
+	Err     error // this version cannot read it: of the account only the team is known
 }
 
 func (b *Book) account(now time.Time, team string) *Account {
@@ -129,15 +132,16 @@
 		return
 	}
 	a := b.account(now, team)
-	a.delta = add(a.delta, class, u)
+	a.delta = AddTo(a.delta, class, u)
 	if a.state == Clean {
 		a.set(Charged)
 	}
 }
 
 // Due lists the teams whose accounts are to be settled now: those that have had charges
-// since long enough, and those whose decay has not been written down for long. The latter guards against
-// an idle team whose decayed use stands still through one takeover after another.
+// for long enough, and those whose decay has not been written down for long. The latter
+// guards against an idle team whose decayed use stands still through one takeover after
+// another.
 func (b *Book) Due(now time.Time) []string {
 	if now.Before(b.due) {
 		return nil
@@ -145,6 +149,9 @@
 	b.due = now.Add(b.set.Settle / dueParts)
 	var out []string
 	for team, a := range b.teams {
+		if a.shut {
+			continue
+		}
 		if a.state == Charged && now.Sub(a.since) >= b.set.Settle || a.state == Clean && a.open.Decayed > 0 && now.Sub(a.since) > b.set.Half/decayParts {
 			out = append(out, team)
 		}
@@ -163,10 +170,10 @@
 func (b *Book) Wake() time.Time { return b.due }
 
 // Settle makes the settlement of a team's account; day is the time of day. nil: one is
-// on its way.
+// on its way, or the record cannot be read.
 func (b *Book) Settle(now, day time.Time, team string) *Settlement {
 	a := b.account(now, team)
-	if a.next != nil || !a.set(Sent) {
+	if a.shut || a.next != nil || !a.set(Sent) {
 		return nil
 	}
 	s := &Settlement{Version: a.version, sentAt: now, Open: a.open}
@@ -184,13 +191,13 @@
 	var rest []Cell
 	var cost uint64
 	for _, c := range a.delta {
-		grown := add(slices.Clone(o.Cells), c.Class, c.Use)
+		grown := AddTo(slices.Clone(o.Cells), c.Class, c.Use)
 		if len(grown) > 1 && Size(team, grown) > b.set.Most {
 			rest = append(rest, c) // for the next page
 			continue
 		}
 		o.Cells = grown
-		s.charges++
+		s.charges = append(s.charges, c)
 		cost += b.set.Weights.cost(c.Use)
 	}
 	o.Decayed = decay(a.open.Decayed, now.Sub(a.since), b.set.Half) + cost
@@ -204,7 +211,7 @@
 func (b *Book) fits(o *Open, delta []Cell) bool {
 	cells := slices.Clone(o.Cells)
 	for _, c := range delta {
-		cells = add(cells, c.Class, c.Use)
+		cells = AddTo(cells, c.Class, c.Use)
 	}
 	return Size(o.Team, cells) <= b.set.Most
 }
@@ -239,7 +246,7 @@
 }
 
 // Empty tells that a settlement says nothing that its record does not.
-func (s *Settlement) Empty() bool { return s.Closed == nil && s.charges == 0 }
+func (s *Settlement) Empty() bool { return s.Closed == nil && len(s.charges) == 0 }
 
 // Drop takes back a settlement that was not sent.
 func (b *Book) Drop(team string) {
@@ -263,8 +270,9 @@
 
 // Refused notes that a settlement's condition did not hold: an earlier copy of it was
 // carried out, or the record is not what this leader thinks. It has to be read.
-func (b *Book) Refused(team string) {
+func (b *Book) Refused(now time.Time, team string) {
 	if a := b.teams[team]; a != nil && a.next != nil && a.state != Doubted && a.set(Doubted) {
+		a.doubt = now
 		b.doubt++
 	}
 }
@@ -287,26 +295,36 @@
 // Read takes the record of a team whose settlement is in doubt. Only this leader writes
 // under its token, one settlement at a time, so the record either is that settlement or
 // is what it was to follow. It returns the settlement to send once more, or nil where
-// it was carried out. Anything else is a leader's record after this one's end: this one
-// is about to learn of it, and writes nothing.
-func (b *Book) Read(team string, r OnRecord) *Settlement {
+// it was carried out. Anything else is a leader's record after this one's end, which this
+// one is about to learn of, or somebody has changed it by hand: then the account goes on
+// from there, and what was to be charged is charged with the next settlement. foreign
+// tells so.
+func (b *Book) Read(team string, r OnRecord) (again *Settlement, foreign bool) {
 	a := b.teams[team]
 	if a == nil || a.state != Doubted {
-		return nil
+		return nil, false
 	}
+	b.doubt--
 	switch {
 	case r.Open.Token == b.token && r.Open.Settled == a.next.Open.Settled:
-		b.doubt--
 		b.Settled(team, r.Version)
+		return nil, false
 	case r.Open.Settled == a.next.Open.Settled-1:
-		b.doubt--
 		s := *a.next
 		s.Version = r.Version
 		a.next, a.version = &s, r.Version
 		a.set(Sent)
-		return a.next
+		return a.next, false
+	}
+	for _, c := range a.next.charges {
+		a.delta = AddTo(a.delta, c.Class, c.Use)
 	}
-	return nil
+	a.open, a.version, a.next = r.Open, r.Version, nil
+	if r.Version == 0 {
+		a.open = Open{Team: team, Number: 1}
+	}
+	a.set(a.rest())
+	return nil, true
 }
 
 // Busy tells that a settlement of the team is on its way or in doubt.
@@ -315,6 +333,16 @@
 	return a != nil && a.next != nil
 }
 
+// mostDoubt is how long anything else waits for an account whose record has to be read.
+const mostDoubt = 2 * time.Second
+
+// HoldsUp tells that the end of a job of the team waits for its account. Guards against
+// a record that cannot be read and keeps every job of its team from ending.
+func (b *Book) HoldsUp(now time.Time, team string) bool {
+	a := b.teams[team]
+	return a != nil && a.next != nil && (a.state != Doubted || now.Sub(a.doubt) < mostDoubt)
+}
+
 // Pending is what a team has used that is not on record: it may be lost with this
 // leader.
 func (b *Book) Pending(team string) Use {
@@ -324,19 +352,7 @@
 	}
 	u := Total(a.delta)
 	if a.next != nil {
-		now, before := Total(a.next.Open.Cells), Total(a.open.Cells)
-		if a.next.Closed != nil {
-			before = Use{}
-		}
-		u.Add(minus(now, before))
+		u.Add(Total(a.next.charges))
 	}
 	return u
 }
-
-func minus(a, b Use) Use {
-	x, y := a.numbers(), b.numbers()
-	for i := range x {
-		*x[i] -= *y[i]
-	}
-	return a
-}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -41,7 +41,7 @@
 		return false
 	}
 	r.rev++
-	r.acc = OnRecord{s.Open, r.rev}
+	r.acc = OnRecord{Open: s.Open, Version: r.rev}
 	if s.Closed != nil {
 		r.pages = append(r.pages, Stored{*s.Closed, r.rev})
 	}
@@ -107,9 +107,9 @@
 			}{s, rec.token})
 		}
 		doubt := func() {
-			book.Refused("red")
+			book.Refused(now, "red")
 			for range book.Doubts() {
-				if again := book.Read("red", rec.acc); again != nil {
+				if again, _ := book.Read("red", rec.acc); again != nil {
 					send(again)
 				}
 			}
@@ -124,11 +124,13 @@
 			"settle": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 7200).Draw(t, "s")) * time.Second)
 				if s := book.Settle(now, day, "red"); s != nil {
-					part := charged
-					left := Total(book.teams["red"].delta) // classes for which the page had no room
-					part = minus(part, left)
-					charged = left
-					about[name(s, rec.token)] = part
+					// Classes for which the page had no room are left for the next one.
+					part, left := Total(s.charges), Total(book.teams["red"].delta)
+					all := part
+					if all.Add(left); all != charged {
+						t.Fatalf("settled %+v and left %+v of %+v", part, left, charged)
+					}
+					about[name(s, rec.token)], charged = part, left
 					send(s)
 				}
 			},
@@ -156,7 +158,7 @@
 			"takeover":    takeOver,
 			"clock jumps": func(t *rapid.T) { day = day.Add(time.Duration(rapid.IntRange(-40, 60).Draw(t, "h")) * time.Hour) },
 			"fold": func(t *rapid.T) {
-				into, from, n := Fold(set.Seal, rec.pages, day, set.Keep, rapid.IntRange(2, 12).Draw(t, "most"), func(p *Page) bool { return Size(p.Team, p.Cells) <= set.Most })
+				into, from, n := Fold(&set, rec.pages, day, rapid.IntRange(2, 12).Draw(t, "most"))
 				if n > 0 {
 					rec.pages = append(rec.pages[:from:from], append([]Stored{{*into, rec.rev}}, rec.pages[from+n:]...)...)
 				}
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -168,14 +168,14 @@
 }
 
 // Fold looks for the first run of pages, in order, that are old enough to be one page
-// of a day or a month, and makes it: most pages at once, and no larger than fits says.
-// It returns how many pages from which one on it replaces; 0: there is none.
-func Fold(s *Seal, pages []Stored, now time.Time, keep Retention, most int, fits func(*Page) bool) (folded *Page, from, count int) {
+// of a day or a month, and makes it: most pages at once, and no larger than a record may
+// be. It returns how many pages from which one on it replaces; 0: there is none.
+func Fold(set *Settings, pages []Stored, now time.Time, most int) (folded *Page, from, count int) {
 	coarser := func(p *Page) Unit {
 		switch {
-		case p.Unit < Month && now.Sub(p.From) > keep.Days:
+		case p.Unit < Month && now.Sub(p.From) > set.Keep.Days:
 			return Month
-		case p.Unit < Day && now.Sub(p.From) > keep.Hours:
+		case p.Unit < Day && now.Sub(p.From) > set.Keep.Hours:
 			return Day
 		}
 		return p.Unit
@@ -194,17 +194,17 @@
 			grown := into
 			grown.Cells = slices.Clone(into.Cells)
 			for _, c := range next.Cells {
-				grown.Cells = add(grown.Cells, c.Class, c.Use)
+				grown.Cells = AddTo(grown.Cells, c.Class, c.Use)
 			}
 			grown.Last, grown.Head = next.Last, next.Link()
-			if !fits(&grown) {
+			if Size(grown.Team, grown.Cells) > set.Most {
 				break
 			}
 			into = grown
 			n++
 		}
 		if n > 1 {
-			into.Sum = s.Sum(&into)
+			into.Sum = set.Seal.Sum(&into)
 			return &into, i, n
 		}
 	}
--- a/internal/ledger/use.go
+++ b/internal/ledger/use.go
@@ -106,9 +106,7 @@
 }
 
 // AddTo adds an amount to the cell of a class; cells are in the order of their classes.
-func AddTo(cells []Cell, class string, u Use) []Cell { return add(cells, class, u) }
-
-func add(cells []Cell, class string, u Use) []Cell {
+func AddTo(cells []Cell, class string, u Use) []Cell {
 	i, ok := slices.BinarySearchFunc(cells, class, func(c Cell, class string) int { return strings.Compare(c.Class, class) })
 	if !ok {
 		cells = slices.Insert(cells, i, Cell{Class: class})
--- a/internal/model/spec.go
+++ b/internal/model/spec.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -123,6 +124,12 @@
 	Rules           string        // where it may run and would like to, in the language of package constraint
 }
 
+// JobIDValid tells whether an id has the form that users' ids always have.
+func JobIDValid(id string) bool {
+	digits, ok := strings.CutPrefix(id, "wk-")
+	return ok && len(digits) >= 6 && len(id) <= 40 && strings.Trim(digits, "0123456789") == ""
+}
+
 // AllowsType tells whether the job may use machines of the type.
 func (s *Spec) AllowsType(name string) bool {
 	if len(s.Types) == 0 {
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -41,8 +41,7 @@
 	if !n.right.Load().holds() {
 		return nil
 	}
-	got := make(chan *peerpb.AskAnswer, 1)
-	f := func(now time.Time) {
+	a, _ := inLoop(ctx, n, func(now time.Time) *peerpb.AskAnswer {
 		a := &peerpb.AskAnswer{}
 		var e *control.Explanation
 		if n.core != nil && ctx.Err() == nil {
@@ -55,18 +54,24 @@
 				n.log.Error("an explanation cannot be written", "id", id, "err", err)
 			}
 		}
-		got <- a
-	}
+		return a
+	})
+	return a
+}
+
+// inLoop has the loop, which owns the cores, work something out.
+func inLoop[T any](ctx context.Context, n *Node, f func(now time.Time) T) (out T, err error) {
+	got := make(chan T, 1)
 	select {
-	case n.inbox <- f:
+	case n.inbox <- func(now time.Time) { got <- f(now) }:
 	case <-ctx.Done():
-		return nil
+		return out, ctx.Err()
 	}
 	select {
-	case a := <-got:
-		return a
+	case out = <-got:
+		return out, nil
 	case <-ctx.Done():
-		return nil
+		return out, ctx.Err()
 	}
 }
 
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -69,24 +69,16 @@
 
 // Members tells where this controller stands in the election.
 func (n *Node) Members(ctx context.Context) (*admin.Member, error) {
-	got := make(chan election.Standing, 1)
-	f := func(time.Time) { got <- n.elect.Standing(time.Now()) }
-	select {
-	case n.inbox <- f:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	s, err := inLoop(ctx, n, func(time.Time) election.Standing { return n.elect.Standing(time.Now()) })
+	if err != nil {
+		return nil, err
 	}
-	select {
-	case s := <-got:
-		m := &admin.Member{Member: n.plat.Member, State: s.State, Leader: s.Leader, Token: s.Token, Lease: s.Lease.Seconds(), Right: s.Right.Seconds(), Each: s.Each.Seconds(),
-			Promises: map[string]float64{}, Bound: s.Bound.Seconds(), StateDown: n.state.Down(time.Now()).Seconds()}
-		for o, left := range s.Promises {
-			m.Promises[o] = left.Seconds()
-		}
-		return m, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	m := &admin.Member{Member: n.plat.Member, State: s.State, Leader: s.Leader, Token: s.Token, Lease: s.Lease.Seconds(), Right: s.Right.Seconds(), Each: s.Each.Seconds(),
+		Promises: map[string]float64{}, Bound: s.Bound.Seconds(), StateDown: n.state.Down(time.Now()).Seconds()}
+	for o, left := range s.Promises {
+		m.Promises[o] = left.Seconds()
 	}
+	return m, nil
 }
 
 // release tells the other members that their promises are needed no more.
@@ -107,8 +99,7 @@
 // leads.
 func (h relayed) Promise(ctx context.Context, q *peerpb.PromiseAsk) *peerpb.PromiseAnswer {
 	n := h.n
-	got := make(chan *peerpb.PromiseAnswer, 1)
-	f := func(time.Time) {
+	a, err := inLoop(ctx, n, func(time.Time) *peerpb.PromiseAnswer {
 		// Read anew: the loop's moment may be from before the leader has asked, and a
 		// promise that is counted from there would end too early.
 		now := time.Now()
@@ -121,19 +112,12 @@
 		case ctx.Err() == nil:
 			a.Granted, a.Cancelled = n.promise(now, q)
 		}
-		got <- a
-	}
-	select {
-	case n.inbox <- f:
-	case <-ctx.Done():
-		return &peerpb.PromiseAnswer{Leads: true}
-	}
-	select {
-	case a := <-got:
 		return a
-	case <-ctx.Done():
-		return &peerpb.PromiseAnswer{Leads: true}
+	})
+	if err != nil {
+		return &peerpb.PromiseAnswer{Leads: true} // nothing is known of it
 	}
+	return a
 }
 
 // promise decides whether this member promises a leader not to claim.
--- a/internal/rehearse/ledgerweek/week.go
+++ b/internal/rehearse/ledgerweek/week.go
@@ -24,29 +24,29 @@
 	"github.com/glentiller/glentiller/internal/store"
 )
 
-// Team compares one team's ledger with the stand-ins' account.
-type Team struct {
-	Team       string `json:"team"`
+// Sides are the ledger and the stand-ins' account, in CPU-, GPU- and GB-microseconds.
+type Sides struct {
 	LedgerCPU  uint64 `json:"ledger_cpu_us"`
 	RuntimeCPU uint64 `json:"runtime_cpu_us"`
 	LedgerGPU  uint64 `json:"ledger_gpu_us"`
 	RuntimeGPU uint64 `json:"runtime_gpu_us"`
 	LedgerMem  uint64 `json:"ledger_gb_us"`
 	RuntimeMem uint64 `json:"runtime_gb_us"`
-	Starts     uint64 `json:"starts"`
+}
+
+// Team compares one team's ledger with the stand-ins' account.
+type Team struct {
+	Team string `json:"team"`
+	Sides
+	Starts uint64 `json:"starts"`
 }
 
 // Result is what a week has shown.
 type Result struct {
-	Days       int    `json:"days"`
-	Seed       uint64 `json:"seed"`
-	LedgerCPU  uint64 `json:"ledger_cpu_us"`
-	RuntimeCPU uint64 `json:"runtime_cpu_us"`
-	LedgerGPU  uint64 `json:"ledger_gpu_us"`
-	RuntimeGPU uint64 `json:"runtime_gpu_us"`
-	LedgerMem  uint64 `json:"ledger_gb_us"`
-	RuntimeMem uint64 `json:"runtime_gb_us"`
-	Teams      []Team `json:"teams"`
+	Days int    `json:"days"`
+	Seed uint64 `json:"seed"`
+	Sides
+	Teams []Team `json:"teams"`
 
 	ChargedTwice uint64 `json:"charged_twice"` // microseconds by which any amount in the ledger is too large
 	Lost         uint64 `json:"lost"`          // and too small
@@ -473,8 +473,7 @@
 // team compares one team's amounts.
 func (k *week) team(name string, use ledger.Use) {
 	r, want := k.res, k.audit.total[name]
-	r.Teams = append(r.Teams, Team{Team: name, LedgerCPU: use.CPU, RuntimeCPU: want.CPU, LedgerGPU: use.GPU, RuntimeGPU: want.GPU,
-		LedgerMem: use.Mem, RuntimeMem: want.Mem, Starts: use.Starts})
+	r.Teams = append(r.Teams, Team{name, Sides{use.CPU, want.CPU, use.GPU, want.GPU, use.Mem, want.Mem}, use.Starts})
 	r.LedgerCPU += use.CPU
 	r.RuntimeCPU += want.CPU
 	r.LedgerGPU += use.GPU
--- a/internal/store/ledger.go
+++ b/internal/store/ledger.go
@@ -77,11 +77,16 @@
 	}
 	out := make([]ledger.OnRecord, 0, len(entries))
 	for _, e := range entries {
+		// Guards against one record that keeps everybody from leading: it is told, and
+		// the others are kept.
 		o, err := wire.DecodeOpenPage(e.Value)
 		if err != nil {
-			return nil, fmt.Errorf("unreadable record %s: %w", e.Key, err)
+			if o.Team, _ = url.PathUnescape(e.Key[len(accountPrefix):]); o.Team == "" {
+				o.Team = e.Key
+			}
+			o = ledger.Open{Team: o.Team}
 		}
-		out = append(out, ledger.OnRecord{Open: o, Version: e.Version})
+		out = append(out, ledger.OnRecord{Open: o, Version: e.Version, Err: err})
 	}
 	return out, nil
 }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -22,21 +22,6 @@
 // them overflows.
 const maxAmount = 1e8
 
-const jobPrefix = "wk-"
-
-// JobIDValid tells whether an id has the form that users' ids always have.
-func JobIDValid(id string) bool {
-	if len(id) < len(jobPrefix)+6 || len(id) > 40 || id[:len(jobPrefix)] != jobPrefix {
-		return false
-	}
-	for _, c := range id[len(jobPrefix):] {
-		if c < '0' || c > '9' {
-			return false
-		}
-	}
-	return true
-}
-
 var shapes = map[string]model.Shape{"array": model.Array, "ensemble": model.Gang, "daemon": model.Service}
 var ranks = map[string]model.Rank{"critical": model.Production, "urgent": model.High, "standard": model.Normal, "idle": model.Low}
 
@@ -76,7 +61,7 @@
 		}
 		return b, false, nil
 	})
-	if err == nil && !JobIDValid(id) {
+	if err == nil && !model.JobIDValid(id) {
 		err = errors.New("ref is missing or not of the form")
 	}
 	return id, err
@@ -100,7 +85,7 @@
 		}
 	}
 	switch {
-	case !JobIDValid(s.ID):
+	case !model.JobIDValid(s.ID):
 		return nil, errors.New("ref is not of the form")
 	case s.Need.CPU <= 0 && s.Need.GPU <= 0:
 		return nil, errors.New("a task takes neither cores nor cards")
@@ -211,7 +196,7 @@
 	slices.Sort(ids)
 	ids = slices.Compact(ids)
 	for _, id := range ids {
-		if !JobIDValid(id) {
+		if !model.JobIDValid(id) {
 			return rest, true, errors.New("not the id of a job")
 		}
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -93,7 +93,7 @@
 		if err == nil && (r.Machine == "" || r.Session == 0) {
 			t.Error("a report without machine or session was taken")
 		}
-		if s, err := DecodeJob(b); err == nil && (!JobIDValid(s.ID) || s.Tasks < 1 || s.Tasks > 100_000) {
+		if s, err := DecodeJob(b); err == nil && (!model.JobIDValid(s.ID) || s.Tasks < 1 || s.Tasks > 100_000) {
 			t.Errorf("taken as a job: %+v", s)
 		}
 		if p, err := DecodePage(b); err != nil && p.More && len(p.Entries) > len(b) {
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -24,7 +24,7 @@
 func parseTask(s string) (model.TaskID, error) {
 	job, idx, ok := strings.Cut(s, "/")
 	n, err := strconv.Atoi(idx)
-	if !ok || err != nil || n < 0 || n >= maxTasks || !JobIDValid(job) {
+	if !ok || err != nil || n < 0 || n >= maxTasks || !model.JobIDValid(job) {
 		return model.TaskID{}, errors.New("not a task")
 	}
 	return model.TaskID{Job: job, Index: n}, nil
