--- a/internal/fake/promises_test.go
+++ b/internal/fake/promises_test.go
@@ -29,6 +29,19 @@
 	return n
 }
 
+// cancelElsewhere cancels a job through another controller than one.
+func cancelElsewhere(t *testing.T, w *World, than *Controller, s *model.Spec) {
+	t.Helper()
+	for _, c := range w.Controllers {
+		if c != than {
+			if _, err := w.Cancel(c, s.ID); err != nil {
+				t.Fatal(err)
+			}
+			return
+		}
+	}
+}
+
 func TestLongOutageOfTheStateServiceKillsNothing(t *testing.T) {
 	w := promising(t, 4)
 	serve := job(model.Service, 2, nil)
@@ -83,14 +96,7 @@
 	old := w.Leader()
 	old.NoNet = true
 	w.Pass(2 * second)
-	for _, c := range w.Controllers {
-		if c != old {
-			if _, err := w.Cancel(c, s.ID); err != nil {
-				t.Fatal(err)
-			}
-			break
-		}
-	}
+	cancelElsewhere(t, w, old, s)
 	// The world checks that it is gone in time whoever leads.
 	until(t, w, 15*second, "another leads", func() bool { l := w.Leader(); return l != nil && l != old })
 	until(t, w, w.CancelIn, "it is gone", func() bool { return on(w, s) == 0 })
@@ -105,14 +111,7 @@
 	until(t, w, 30*second, "tasks run", func() bool { return on(w, s) == 4 })
 	leader := w.Leader()
 	leader.NoNet = true // an instant before the outage for all
-	for _, c := range w.Controllers {
-		if c != leader {
-			if _, err := w.Cancel(c, s.ID); err != nil {
-				t.Fatal(err)
-			}
-			break
-		}
-	}
+	cancelElsewhere(t, w, leader, s)
 	w.State.SetDown(true)
 	until(t, w, 5*second, "the leader has heard of it", func() bool { return on(w, s) == 0 })
 	if w.Leader() != leader {
