--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -41,6 +41,7 @@
 		if m.Session != 0 {
 			c.log.Warn("worker's lease has run out", "machine", m.Name, "session", r.Session)
 			c.loseAll(now, m, "new session")
+			m.Copies.Void()
 		}
 		m.DeadSession = r.Session - 1
 		// The new session has a lease of its own, which began before now. Guards
@@ -427,6 +428,12 @@
 // maxOrders keeps an answer far below the published limit.
 const maxOrders = 200
 
+// maxCopies bounds of how many attempts on a machine unanswered launches may be out: their
+// rows stay in the worker's reports until its session ends. Beyond it launches go with
+// answers to reports, which are never carried out late. Guards against a network that
+// swallows answers for hours, until a worker's report passes the published limit.
+const maxCopies = 64
+
 // order1 adds the orders that bring one attempt to where it should be. An
 // unwanted attempt that no report has shown yet is launched and stopped: then
 // the worker knows it, and a late copy of its launch does nothing
@@ -445,7 +452,7 @@
 // forgettable tells whether the row of an ended attempt may be removed: what it
 // did is durable, and no copy of its launch can come late.
 func (c *Core) forgettable(a *model.Attempt) bool {
-	if a.StrayLaunch || a.Machine.Token < c.token {
+	if a.Machine.Copies.Out(model.AttemptKey{Task: a.Task, Try: a.Try}) || a.Machine.Token < c.token {
 		return false
 	}
 	if a.Cause != model.CauseDone || a.Job == nil || a.Job.Spec.Shape == model.Service {
@@ -464,16 +471,17 @@
 		return // the next answer to a report carries it
 	}
 	var out []model.Order
-	for _, a := range m.Rows {
+	for key, a := range m.Rows {
 		if !a.Holds() || a.Told == a.State || len(out) >= maxOrders {
 			continue
 		}
 		n := len(out)
-		out = c.order1(out, a)
-		for _, o := range out[n:] {
-			if o.Op == model.OpLaunch {
-				a.StrayLaunch = true
+		if out = c.order1(out, a); len(out) > n && out[n].Op == model.OpLaunch {
+			if m.Copies.Attempts() >= maxCopies && !m.Copies.Out(key) {
+				out = out[:n] // the next answer to a report carries it
+				continue
 			}
+			m.Copies.Send(key)
 		}
 		a.Told = a.State
 	}
@@ -494,10 +502,10 @@
 	}
 	if ev.Outcome == Unknown {
 		m.HoldOff = now.Add(c.set.DirectHold)
-	} else {
+	} else if ev.Session == m.Session {
 		for _, o := range ev.Orders {
-			if a := m.Rows[model.AttemptKey{Task: o.Task, Try: o.Try}]; a != nil && o.Op == model.OpLaunch {
-				a.StrayLaunch = false
+			if o.Op == model.OpLaunch {
+				m.Copies.Land(model.AttemptKey{Task: o.Task, Try: o.Try})
 			}
 		}
 	}
--- /dev/null
+++ b/internal/fake/copies_test.go
@@ -0,0 +1,156 @@
+package fake
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// The network does to direct commands, to answers and to transactions whatever the
+// protocol allows, while jobs come, are cancelled and make way for each other, and while
+// leaders change. Held commands arrive in any order, however late.
+func TestCopiesOnTheirWayBreakNoRule(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.checks": "400", "rapid.steps": "40", "rapid.nofailfile": "true"} {
+		old := flag.Lookup(name).Value.String()
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = flag.Set(name, old) }()
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		w := world(2, 1)
+		w.Run, w.Fetch, w.Tick = 6*second, 100*time.Millisecond, 100*time.Millisecond
+		w.full = true // what makes way on one machine starts on another
+		worker := func(r *rapid.T) *Worker {
+			if names := w.names(); len(names) > 0 {
+				return w.Workers[rapid.SampledFrom(names).Draw(r, "worker")]
+			}
+			return &Worker{} // all were given back
+		}
+		controller := func(r *rapid.T) *Controller {
+			return w.Controllers[rapid.IntRange(0, len(w.Controllers)-1).Draw(r, "controller")]
+		}
+		for _, c := range w.Controllers {
+			c.set.DirectHold = 300 * time.Millisecond // the next copy follows soon
+		}
+		way := func() Fate { return Answered }
+		w.Way = func() Fate { return way() }
+		w.Pass(6 * second)
+		var ids []string
+		final := map[string]wire.JobState{}
+		look := func(r *rapid.T) {
+			if len(ids) == 0 {
+				return
+			}
+			id := rapid.SampledFrom(ids).Draw(r, "job")
+			c := controller(r)
+			v, err := c.Jobs.Lookup(context.Background(), id)
+			if !c.Up || err != nil {
+				return
+			}
+			if was := final[id]; was != wire.StateUnknown && v.State != was {
+				r.Fatalf("went_back: %s was %v and is %v", id, was, v.State)
+			}
+			if v.State.Ended() {
+				final[id] = v.State
+			}
+		}
+		r.Repeat(map[string]func(*rapid.T){
+			"time passes": func(r *rapid.T) {
+				way = func() Fate {
+					return rapid.SampledFrom([]Fate{Answered, Answered, Unanswered, Held, Lost}).Draw(r, "way")
+				}
+				w.Pass(time.Duration(rapid.IntRange(1, 40).Draw(r, "tenths")) * 100 * time.Millisecond)
+				for len(w.Workers) < 2 {
+					w.machines++
+					w.AddMachine(model.Listed{Machine: fmt.Sprintf("n-%06d", w.machines), Type: "eight", Zone: "a"})
+				}
+			},
+			"a job comes": func(r *rapid.T) {
+				c := controller(r)
+				s := job(rapid.SampledFrom([]model.Shape{model.Array, model.Array, model.Service}).Draw(r, "shape"), rapid.IntRange(1, 3).Draw(r, "tasks"), func(s *model.Spec) {
+					s.Rank = rapid.SampledFrom([]model.Rank{model.Low, model.Normal, model.Production}).Draw(r, "rank")
+					s.Need.CPU = float64(rapid.SampledFrom([]int{2, 4, 8}).Draw(r, "cpus"))
+					if rapid.Bool().Draw(r, "saves") {
+						s.Checkpoint, s.Save = 2*second, second
+					}
+				})
+				if c.Up && w.Submit(c, s) == nil {
+					ids = append(ids, s.ID)
+				}
+			},
+			"a job is cancelled": func(r *rapid.T) {
+				if c := controller(r); c.Up && len(ids) > 0 {
+					_, _ = w.Cancel(c, ids[len(ids)-1-min(rapid.IntRange(0, 3).Draw(r, "job"), len(ids)-1)])
+				}
+			},
+			"somebody asks": look,
+			"held commands arrive": func(r *rapid.T) {
+				for range rapid.IntRange(0, 3).Draw(r, "how many") {
+					if len(w.Held) == 0 {
+						return
+					}
+					i := rapid.IntRange(0, len(w.Held)-1).Draw(r, "which")
+					f := w.Held[i]
+					w.Held = append(w.Held[:i:i], w.Held[i+1:]...)
+					f()
+					w.Check()
+				}
+			},
+			"answers are lost or not": func(r *rapid.T) {
+				lost := rapid.Bool().Draw(r, "lost")
+				for _, k := range w.Workers {
+					k.Mute = lost
+				}
+			},
+			"something fails or comes back": func(r *rapid.T) {
+				switch c := controller(r); rapid.IntRange(0, 12).Draw(r, "what") {
+				case 0:
+					k := worker(r)
+					k.Cut = !k.Cut
+				case 1:
+					c.NoNet = !c.NoNet
+				case 2:
+					if c.Up {
+						c.Crash()
+					}
+				case 3:
+					if !c.Up {
+						c.Start()
+					}
+				}
+			},
+			"": func(r *rapid.T) {
+				for _, b := range w.Broken {
+					r.Fatalf("broken: %s", b)
+				}
+			},
+		})
+		// Everything comes back, and what is still held arrives when all else is long over.
+		way = func() Fate { return Answered }
+		for _, c := range w.Controllers {
+			if c.NoNet = false; !c.Up {
+				c.Start()
+			}
+		}
+		for _, k := range w.Workers {
+			k.Mute, k.Cut = false, false
+		}
+		w.Pass(w.CancelIn + 10*second)
+		for _, f := range w.Held {
+			f()
+			w.Check()
+		}
+		w.Pass(second)
+		for _, b := range w.Broken {
+			r.Fatalf("broken: %s", b)
+		}
+	})
+}
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -29,6 +29,21 @@
 // grown is the same with teams that may use some times as much.
 func grown(t *testing.T, machines int, times float64) *World {
 	t.Helper()
+	w := world(machines, times)
+	t.Cleanup(func() {
+		for _, b := range w.Broken {
+			t.Errorf("broken: %s", b)
+		}
+	})
+	w.Pass(6 * second)
+	if w.Leader() == nil {
+		t.Fatal("nobody leads after 6 s")
+	}
+	return w
+}
+
+// world is a deployment whose time has not begun.
+func world(machines int, times float64) *World {
 	p := &config.Platform{Member: "tiller-0"}
 	d := &p.Deployment
 	d.Zones = []string{"a", "b"}
@@ -47,15 +62,6 @@
 		w.machines++
 		w.AddMachine(model.Listed{Machine: fmt.Sprintf("n-%06d", w.machines), Type: "eight", Zone: d.Zones[i%2]})
 	}
-	t.Cleanup(func() {
-		for _, b := range w.Broken {
-			t.Errorf("broken: %s", b)
-		}
-	})
-	w.Pass(6 * second)
-	if w.Leader() == nil {
-		t.Fatal("nobody leads after 6 s")
-	}
 	return w
 }
 
@@ -174,6 +180,39 @@
 	}
 }
 
+// Two copies of a launch are out at once: the first one hangs in the network, the second
+// one, sent with a stop, is answered. The answer says nothing of the first.
+func TestAnAnswerToOneCopyOfALaunchIsNoneToAnother(t *testing.T) {
+	w := deployment(t, 2)
+	answers := func(lost bool) {
+		for _, k := range w.Workers {
+			k.Mute = lost
+		}
+	}
+	answers(true) // they would bring the launch before the second copy does
+	s := job(model.Array, 1, nil)
+	w.Hold = true
+	submit(t, w, s)
+	until(t, w, 3*second, "the first copy is on its way", func() bool { return len(w.Held) > 0 })
+	w.Hold = false
+	if _, err := w.Cancel(w.Controllers[0], s.ID); err != nil {
+		t.Fatal(err)
+	}
+	w.Pass(4 * second) // a command that was not answered puts the next one off
+	sent := w.Commands
+	submit(t, w, job(model.Array, 4, nil)) // the command for these takes the second copy along
+	until(t, w, 3*second, "the second copy is answered", func() bool { return w.Commands > sent })
+	answers(false)
+	w.Pass(20 * second) // the worker has long been told to forget what it may
+	starts := w.Starts[model.TaskID{Job: s.ID}]
+	for _, f := range w.Held {
+		f()
+	}
+	if got := w.Starts[model.TaskID{Job: s.ID}]; got != starts {
+		t.Errorf("the first copy started the task again: %d starts, then %d", starts, got)
+	}
+}
+
 func TestDeposedLeaderWritesNothing(t *testing.T) {
 	w := deployment(t, 2)
 	old := w.Leader()
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -34,6 +34,7 @@
 	Token   uint64
 	Tasks   map[model.AttemptKey]*Task
 	Cut     bool // neither reports nor commands get through
+	Mute    bool // its reports get through, but the answers to them are lost
 	Sick    bool // fails every task
 	Notice  time.Duration
 	Slow    time.Duration // how much longer its fetches take
@@ -110,6 +111,9 @@
 
 func (k *Worker) launch(key model.AttemptKey, now time.Time) *Task {
 	k.w.Starts[key.Task]++
+	if at, ok := k.w.Cancelled[key.Task.Job]; ok && now.Sub(at) > k.w.CancelIn {
+		k.w.broken("ran_cancelled: %v started on %s", key.Task, k.Name)
+	}
 	defer func() {
 		if ok := k.w.Allowed[key.Task.Job]; ok != nil && !ok(k) {
 			k.w.broken("rules: %v started on %s", key.Task, k.Name)
@@ -198,6 +202,7 @@
 	c := k.w.Controllers[k.target]
 	v, ok := c.report(k.report())
 	switch {
+	case ok && k.Mute:
 	case ok && k.accept(v.token):
 		k.renewed = now
 		k.Execute(v.orders)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -56,9 +56,10 @@
 	booting   map[string]bootingMachine
 	machines  int
 
-	Held   []func() // direct commands that the network holds back
-	Hold   bool     // hold direct commands back and give their senders up
-	Broken []string // rules that were broken
+	Held   []func()    // direct commands that the network holds back
+	Hold   bool        // hold direct commands back and give their senders up
+	Way    func() Fate // what becomes of the next direct command; nil: it is answered
+	Broken []string    // rules that were broken
 	Starts map[model.TaskID]int
 	Saves  map[model.TaskID]int // orderly stops that saved
 	seen   map[string]bool
@@ -71,6 +72,17 @@
 	at time.Time
 }
 
+// Fate is what becomes of a direct command on its way.
+type Fate uint8
+
+// The fates of direct commands.
+const (
+	Answered   Fate = iota
+	Unanswered      // carried out, but its answer is lost
+	Held            // not answered; it may arrive later
+	Lost            // not answered, and never arrives
+)
+
 // Ear is told what passes between controllers and the stand-ins.
 type Ear interface {
 	// Taken: a leader takes a worker's message.
@@ -233,7 +245,7 @@
 				k.step()
 			}
 		}
-		w.check()
+		w.Check()
 	}
 }
 
@@ -308,8 +320,8 @@
 	return on
 }
 
-// check looks for broken rules.
-func (w *World) check() {
+// Check looks for broken rules.
+func (w *World) Check() {
 	on := map[model.TaskID]string{}
 	used := map[string]model.Resources{}
 	zones := map[string]map[string]int{}
@@ -602,11 +614,18 @@
 			return control.OK, k.report()
 		}
 		k := w.Workers[e.Machine]
+		fate := Answered
+		if w.Way != nil {
+			fate = w.Way()
+		}
 		switch {
-		case w.Hold:
+		case w.Hold, fate == Held:
 			w.Held = append(w.Held, func() { deliver() })
+		case fate == Lost:
 		case k != nil && !k.Cut && !c.Deaf && c.Leads():
-			ev.Outcome, ev.Report = deliver()
+			if ev.Outcome, ev.Report = deliver(); fate == Unanswered {
+				ev.Outcome, ev.Report = control.Unknown, nil
+			}
 		}
 		back(ev)
 	case control.Rent:
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -57,11 +57,6 @@
 	// For the ledger; zero while no message has shown it running.
 	Ran     time.Time // the first message to this leader that showed it running
 	Charged time.Time // up to here its run time is charged
-
-	// StrayLaunch: a direct launch was sent and never answered. A copy of it may
-	// still arrive, so the row must not be forgotten; docs/safety.md, "Late
-	// launches".
-	StrayLaunch bool
 }
 
 // Choice is what decided where an attempt was placed.
@@ -198,6 +193,7 @@
 	Notice     time.Time // when the cloud takes it; zero: no notice
 	Images     map[string]time.Time
 
+	Copies  Copies         // of launches that were sent straight to it
 	Errors  map[string]int // errors by job
 	Direct  bool           // a direct command is in flight
 	Asked   time.Time      // when a new leader last asked it whether it is there
