Passes look at what changed their answer once; the right to act is renewed beside the loop

Passes looked at every machine for each of hundreds of jobs that wait, and ran all the time.

sched: what did not fit is kept in mind for the pass, machines are taken off a heap, what could make way is worked out once a machine (same decisions; a test compares with looking at all). Passes run on ticks only, after what has come in, and pause three times as long as they took. What the right hangs on has an inbox of its own, and a renewal that the loop is late with is made beside it. An older picture is not swept before the right is known to hold.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -93,7 +93,8 @@
 	stray    model.Usage             // of attempts whose job has ended and whose needs are not known any more
 	unsure   int                     // machines that may hold tasks that nobody here knows
 
-	gpuNeed map[model.Resources]bool // GPU requests seen: machines are kept for them
+	gpuNeed map[model.Resources]bool    // GPU requests seen: machines are kept for them
+	keptGPU map[*model.MachineType]bool // types that are, as of the last pass
 	runs    runTimes
 	// startCounts: users expect tasks of the class to start in some time, so a
 	// start that is taken back soon was in vain.
@@ -115,6 +116,8 @@
 	dirty     bool      // the picture has changed since the last pass
 	rentedAt  time.Time // when renting was last thought over
 	lastPass  time.Time
+	passPause time.Duration // from one pass's beginning to the next one's, at least
+	passed    bool          // the last step held a pass
 	listAt    time.Time
 	catalogAt time.Time
 	sweepAt   time.Time
@@ -140,7 +143,7 @@
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, graph: model.NewGraph(), times: map[string][]float64{}, machines: map[string]*model.Machine{},
 		gone: map[string]time.Time{}, use: map[string]*model.Usage{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
-		dirtyJobs: map[string]bool{}, ruled: map[*model.Job]*ruled{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
+		dirtyJobs: map[string]bool{}, ruled: map[*model.Job]*ruled{}, keptGPU: map[*model.MachineType]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt: now.Add(set.SilentAfter)}
 	for i := range set.Teams {
 		c.teams[set.Teams[i].Name] = &set.Teams[i]
@@ -247,6 +250,7 @@
 	c.out = c.out[:0]
 	switch ev := ev.(type) {
 	case Tick:
+		c.due(now)
 	case JobAdded:
 		c.addJob(now, ev)
 	case JobEnded:
@@ -272,12 +276,16 @@
 	case PagesIn:
 		c.pagesIn(now, ev)
 	}
-	c.work(now)
+	c.send(now)
 	return c.out
 }
 
-// work does what is due.
-func (c *Core) work(now time.Time) {
+// due does what time brings: it sweeps, passes and asks. Only a Tick leads here, which comes
+// when everything else that waits was taken in, and only while its controller may act. Guards
+// against reports, and the answers that their workers' leases hang on, that wait behind a
+// pass; and against a leader that has stood still for long, and takes its own silence for
+// that of its workers.
+func (c *Core) due(now time.Time) {
 	if !now.Before(c.sweepAt) {
 		c.sweep(now)
 		c.sweepAt = now.Add(250 * time.Millisecond)
@@ -286,15 +294,14 @@
 		c.status(now)
 		c.statusAt = now.Add(10 * time.Second)
 	}
-	if c.dirty && !now.Before(c.lastPass.Add(c.set.Pass)) {
+	if c.dirty && !now.Before(c.passAt()) {
+		c.passed = true
 		c.pass(now)
 	}
 	if len(c.dirtyJobs) > 0 && !now.Before(c.flushAt) {
 		c.flush(now)
 	}
 	c.account(now)
-	c.commit(now)
-	c.lookUp(now)
 	if !c.listing && !now.Before(c.listAt) {
 		c.listing = true
 		c.emit(List{})
@@ -303,16 +310,42 @@
 		c.catalogs = true
 		c.emit(Catalog{})
 	}
+}
+
+// send sends what is ready: records, and commands to workers.
+func (c *Core) send(now time.Time) {
+	c.commit(now)
+	c.lookUp(now)
 	for m := range c.news {
 		c.sendDirect(now, m)
 	}
 }
 
+// passAt is when the next pass may begin: passes, which look at all that waits, leave most of
+// the time to what must not wait.
+func (c *Core) passAt() time.Time { return c.lastPass.Add(max(c.set.Pass, c.passPause)) }
+
+// Took tells the core how long a step took by the controller's clock. If it held a pass, the
+// next one is put off in proportion. Guards against a leader that passes all the time, with
+// reports and the renewal of its own lease waiting behind: its right lapsed by itself on days
+// without any fault.
+func (c *Core) Took(d time.Duration) (passed bool) {
+	if passed, c.passed = c.passed, false; passed {
+		c.passPause = min(passPart*d, mostPause)
+	}
+	return passed
+}
+
+const (
+	passPart  = 3               // a pass takes no more than one part of so many of the time
+	mostPause = 3 * time.Second // but work does not wait longer than this for the next one
+)
+
 // Wake is when the next Tick is due.
 func (c *Core) Wake() time.Time {
 	t := c.sweepAt
 	if c.dirty {
-		if p := c.lastPass.Add(c.set.Pass); p.Before(t) {
+		if p := c.passAt(); p.Before(t) {
 			t = p
 		}
 	}
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -122,6 +122,7 @@
 func (c *Core) picture(now time.Time) *sched.Picture {
 	p := &sched.Picture{Used: make(map[string]model.Resources, len(c.use)), Leaving: make(map[string]model.Resources, len(c.use)),
 		Teams: c.teams, Zones: c.set.Zones, Nodes: make([]*sched.Node, 0, len(c.machines))}
+	clear(c.keptGPU)
 	c.paths(now)
 	c.shares(now)
 	guaranteed := c.guaranteed()
@@ -302,12 +303,14 @@
 	if spot || t.Cap.GPU == 0 {
 		return false
 	}
-	for need := range c.gpuNeed {
-		if need.Fits(t.Cap) {
-			return true
+	kept, known := c.keptGPU[t]
+	if !known {
+		for need := range c.gpuNeed {
+			kept = kept || need.Fits(t.Cap)
 		}
+		c.keptGPU[t] = kept
 	}
-	return false
+	return kept
 }
 
 // slack is the time that a job's tasks have left, which have run for some time
--- a/internal/control/rulesets_test.go
+++ b/internal/control/rulesets_test.go
@@ -119,6 +119,7 @@
 			c.machines[fmt.Sprintf("n-%06d", i)].Images["img"] = now
 		}
 		c.Step(now, JobAdded{Spec: spec, At: now, Version: 9})
+		c.Step(now, Tick{})
 		c.Step(now.Add(time.Second), Tick{})
 		got := "nowhere"
 		for _, a := range c.jobs[spec.ID].Live {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -191,9 +191,22 @@
 	if m.state != Leading {
 		return time.Time{}
 	}
-	return m.sent.Add(m.set.Life - m.set.Life/1000 - m.set.Margin)
+	return m.Proves(m.sent)
 }
 
+// Proves is until when a renewal that was sent at a moment, and succeeds, proves the right to
+// act: the lease's length from the sending, less the drift of the clocks and a margin. It
+// reads nothing that changes.
+func (m *Machine) Proves(sent time.Time) time.Time {
+	return sent.Add(m.set.Life - m.set.Life/1000 - m.set.Margin)
+}
+
+// Lease is the lease that this controller's leadership hangs on.
+func (m *Machine) Lease() uint64 { return m.lease }
+
+// Life is how long a leader's lease lasts.
+func (m *Machine) Life() time.Duration { return m.set.Life }
+
 // Entitled tells whether this controller may act for all at the time.
 func (m *Machine) Entitled(now time.Time) bool {
 	return m.state == Leading && now.Before(m.RightUntil())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/glentiller/glentiller/internal/model"
@@ -104,6 +105,7 @@
 		}
 	}
 	var asks []Ask
+	full := fulls{}
 	for _, l := range lacking {
 		if l.Limited {
 			continue
@@ -114,8 +116,9 @@
 		for z, k := range l.Want.Zones {
 			zones[z] = k
 		}
-		for ; n > 0; n-- {
-			if !fillComing(v, l.Want, zones) {
+		for from := full.from(l.Want); n > 0; n-- {
+			if from = fillComing(v, l.Want, zones, from); from == len(v.Coming) {
+				full.add(l.Want, from)
 				break
 			}
 		}
@@ -168,16 +171,19 @@
 	return nil
 }
 
-func fillComing(v *View, w *sched.Want, zones map[string]int) bool {
+// fillComing puts one task of a want on what is coming, beginning at a place in the list,
+// and tells where; the length of the list: nothing has room.
+func fillComing(v *View, w *sched.Want, zones map[string]int, from int) int {
 	spec := w.Job.Spec
-	for _, c := range v.Coming {
-		if w.Urgent() && c.Soon != nil || c.Spot && !spec.Spot || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
+	for i := from; i < len(v.Coming); i++ {
+		c := v.Coming[i]
+		if w.Urgent() && c.Soon != nil || c.Spot && !spec.Spot || !spec.Need.Fits(c.free) || !spec.AllowsType(c.Type.Name) || spec.Zone != "" && spec.Zone != c.Zone {
 			continue
 		}
 		if spec.Need.GPU == 0 && v.ForGPU(c.Type, c.Spot) {
 			continue
 		}
-		if !spec.Need.Fits(c.free) || w.ZoneFull(zones, c.Zone) || !w.Rules.Offer(c.Type, c.Zone, c.Spot) || c.by == w && c.of >= w.PerMachine() {
+		if w.ZoneFull(zones, c.Zone) || !w.Rules.Offer(c.Type, c.Zone, c.Spot) || c.by == w && c.of >= w.PerMachine() {
 			continue
 		}
 		if c.by != w {
@@ -186,11 +192,56 @@
 		c.of++
 		c.free = c.free.Sub(spec.Need)
 		zones[c.Zone]++
-		return true
+		return i
+	}
+	return len(v.Coming)
+}
+
+// fulls says up to where in the list of what is coming there is no room for tasks of a kind.
+// Room there only becomes less. Guards against a look at all that is coming for each task of
+// hundreds of jobs that wait.
+type fulls map[kind][]full
+
+// kind is what decides where tasks without rules may go, but for how much they need.
+type kind struct {
+	urgent, spot, gpu bool
+	zone, types       string
+}
+
+type full struct {
+	need model.Resources
+	upTo int
+}
+
+func kindOf(w *sched.Want) kind {
+	s := w.Job.Spec
+	return kind{w.Urgent(), s.Spot, s.Need.GPU > 0, s.Zone, strings.Join(s.Types, " ")}
+}
+
+// from is where to begin to look for room.
+func (f fulls) from(w *sched.Want) int {
+	at := 0
+	for _, e := range f[kindOf(w)] {
+		if e.need.Fits(w.Job.Spec.Need) {
+			at = max(at, e.upTo)
+		}
 	}
-	return false
+	return at
 }
 
+// add notes that there is no room for a want's tasks up to a place in the list. What else
+// bounds them says nothing of others.
+func (f fulls) add(w *sched.Want, upTo int) {
+	k := kindOf(w)
+	if w.Rules != nil || w.Job.Spec.Spread || len(f[k]) >= mostFull {
+		return
+	}
+	f[k] = append(f[k], full{w.Job.Spec.Need, upTo})
+}
+
+// mostFull bounds what is kept for tasks of one kind.
+const mostFull = 32
+
 func cheapest(now time.Time, v *View, w *sched.Want, zones map[string]int) (Offer, int, bool) {
 	spec := w.Job.Spec
 	type option struct {
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -41,7 +41,7 @@
 	if !n.right.Load().holds() {
 		return nil
 	}
-	a, _ := inLoop(ctx, n, func(now time.Time) *peerpb.AskAnswer {
+	a, _ := inLoop(ctx, n.inbox, func(now time.Time) *peerpb.AskAnswer {
 		a := &peerpb.AskAnswer{}
 		var e *control.Explanation
 		if n.core != nil && ctx.Err() == nil {
@@ -59,11 +59,12 @@
 	return a
 }
 
-// inLoop has the loop, which owns the cores, work something out.
-func inLoop[T any](ctx context.Context, n *Node, f func(now time.Time) T) (out T, err error) {
+// inLoop has the loop, which owns the cores, work something out; it is handed over through
+// one of the loop's inboxes.
+func inLoop[T any](ctx context.Context, inbox chan<- func(time.Time), f func(now time.Time) T) (out T, err error) {
 	got := make(chan T, 1)
 	select {
-	case n.inbox <- func(now time.Time) { got <- f(now) }:
+	case inbox <- func(now time.Time) { got <- f(now) }:
 	case <-ctx.Done():
 		return out, ctx.Err()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,9 +43,10 @@
 	relays  relays
 	teams   map[string]*model.Team
 
-	group *errgroup.Group
-	ctx   context.Context
-	inbox chan func(now time.Time)
+	group  *errgroup.Group
+	ctx    context.Context
+	inbox  chan func(now time.Time)
+	urgent chan func(now time.Time) // what the right to act hangs on; it goes before the inbox
 
 	changeMu sync.Mutex
 	changes  []store.JobChange // of the job records, in order, for the loop
@@ -55,9 +56,14 @@
 	elect *election.Machine
 	core  *control.Core
 	term  uint64 // counts the leaderships of this process; effects of an earlier one are void
+	held  holds
+	// While the right of the present leadership has lapsed: its token, and since when.
+	lapsed   uint64
+	lapsedAt time.Time
 
 	// Shown to others.
 	right    atomic.Pointer[right]
+	touched  atomic.Pointer[time.Time] // when the last renewal that succeeded was sent
 	leader   atomic.Pointer[string]
 	types    atomic.Pointer[[]model.MachineType]
 	progress atomic.Pointer[map[string][2]int]
@@ -66,22 +72,10 @@
 	leaderSince atomic.Pointer[time.Time] // when the present leader became known
 }
 
-// right is the right to act, as it was last renewed.
-type right struct {
-	token, version uint64
-	until          time.Time
-	lease          time.Time // until when it rests on the lease at the state service
-}
-
-// onPromises tells that the right rests on the promises of the other members alone.
-func (r *right) onPromises(now time.Time) bool { return !now.Before(r.lease) && now.Before(r.until) }
-
-func (r *right) holds() bool { return r != nil && time.Now().Before(r.until) }
-
 // New makes a controller.
 func New(p *config.Platform, o *config.Operator, log *slog.Logger) *Node {
 	n := &Node{plat: p, oper: o, set: config.Control(p, o), log: log, teams: map[string]*model.Team{}, inbox: make(chan func(time.Time), 256),
-		changed: make(chan struct{}, 1)}
+		urgent: make(chan func(time.Time), 64), changed: make(chan struct{}, 1)}
 	teams := p.Teams()
 	for i := range teams {
 		n.teams[teams[i].Name] = &teams[i]
@@ -195,7 +189,9 @@
 	return nil
 }
 
-// loop owns the cores.
+// loop owns the cores. What the right to act hangs on goes first, then what has come in, a
+// bounded time at once, then what time brings: passes come last, and leave room for the
+// others (Core.Took).
 func (n *Node) loop() error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -204,39 +200,98 @@
 		case <-n.ctx.Done():
 			n.stepDown(time.Now())
 			return nil
+		case f := <-n.urgent:
+			n.hold("election", f)
 		case f := <-n.inbox:
-			now := time.Now()
-			f(now)
-			for more := true; more; {
-				select {
-				case f := <-n.inbox:
-					f(now)
-				default:
-					more = false
-				}
-			}
+			n.hold("message", f)
+			n.drain(time.Now().Add(inboxTime))
 		case <-n.changed:
-			n.applyChanges(time.Now())
+			n.hold("jobs", n.applyChanges)
 		case <-timer.C:
 		}
+		n.first()
 		now := time.Now()
 		n.elected(now, n.elect.Step(now, election.Tick{}))
 		wake := n.elect.Wake()
 		if n.core != nil && n.right.Load().holds() {
-			n.step(now, control.Tick{})
-			if n.core.Deaf(now) && len(n.peers) > 0 {
+			n.hold("pass", func(now time.Time) {
+				n.step(now, control.Tick{})
+				if took := time.Since(now); n.core != nil && n.core.Took(took) && took > longPass {
+					n.log.Debug("long pass", "took", took)
+				}
+			})
+			if n.core != nil && n.core.Deaf(now) && len(n.peers) > 0 {
 				n.log.Warn("no worker is heard, stepping down")
 				n.elected(now, n.elect.Step(now, election.Resign{}))
 				continue
 			}
-			if w := n.core.Wake(); w.Before(wake) {
-				wake = w
+			if n.core != nil {
+				if w := n.core.Wake(); w.Before(wake) {
+					wake = w
+				}
 			}
+			n.tellHolds(now)
 		}
 		timer.Reset(max(time.Until(wake), time.Millisecond))
 	}
 }
 
+const (
+	inboxTime = 20 * time.Millisecond  // for what has come in, before the election and time have their turn
+	longPass  = 200 * time.Millisecond // worth a line in the log
+	holdEvery = 10 * time.Second       // between words on what held the loop longest
+)
+
+// first carries out what the right to act hangs on.
+func (n *Node) first() {
+	for {
+		select {
+		case f := <-n.urgent:
+			n.hold("election", f)
+		default:
+			return
+		}
+	}
+}
+
+// drain takes in what else has come, until a moment.
+func (n *Node) drain(until time.Time) {
+	for time.Now().Before(until) {
+		n.first()
+		select {
+		case f := <-n.inbox:
+			n.hold("message", f)
+		default:
+			return
+		}
+	}
+}
+
+// hold runs a piece of work and measures for how long it held the loop.
+func (n *Node) hold(what string, f func(now time.Time)) {
+	now := time.Now()
+	f(now)
+	if took := time.Since(now); took > n.held.most {
+		n.held.most, n.held.what = took, what
+	}
+}
+
+// holds is what held the loop longest since it was last told.
+type holds struct {
+	most time.Duration
+	what string
+	told time.Time
+}
+
+// tellHolds logs what held the loop longest.
+func (n *Node) tellHolds(now time.Time) {
+	if now.Sub(n.held.told) < holdEvery {
+		return
+	}
+	n.log.Info("loop", "longest_hold", n.held.most, "by", n.held.what, "inbox", len(n.inbox), "right", n.right.Load().until.Sub(now))
+	n.held = holds{told: now}
+}
+
 // stepDown gives the leadership up in order, so that nobody has to wait for its
 // lease.
 func (n *Node) stepDown(now time.Time) {
@@ -286,12 +341,8 @@
 				n.election(election.Claimed{OK: ok, Version: v, Err: err})
 			})
 		case election.Touch:
-			n.spawn(func() {
-				sent := time.Now()
-				err := n.state.Touch(e.Lease)
-				lost := errors.Is(err, store.ErrLeaseOver)
-				n.election(election.Touched{Lease: e.Lease, Sent: sent, Lost: lost, Err: err})
-			})
+			token := n.elect.Token()
+			n.spawn(func() { n.touch(token, e.Lease) })
 		case election.Drop:
 			n.spawn(func() {
 				for range 3 {
@@ -311,6 +362,7 @@
 			n.term++
 			n.share(true)
 			n.takeOver(n.term, e)
+			n.renew(e.Token, n.elect.Lease())
 		case election.Deposed:
 			n.right.Store(nil) // before anybody may hear of it
 			n.term++
@@ -318,28 +370,24 @@
 			n.share(false)
 		}
 	}
-	var r *right
-	if n.elect.State() == election.Leading {
-		old := n.right.Load()
-		r = &right{n.elect.Token(), n.elect.Version(), n.elect.RightUntil(), n.elect.LeaseUntil()}
-		if old != nil && old.onPromises(now) != r.onPromises(now) {
-			n.log.Info("right to act", "token", r.token, "on_promises", r.onPromises(now), "until", r.until.Sub(now))
-		}
-		if old != nil && n.core != nil && old.token == r.token && !old.until.Equal(r.until) && !now.Before(old.until) {
-			n.log.Info("right to act is back", "token", r.token, "lapsed", now.Sub(old.until))
-			n.core.Resume(now)
-		}
-	}
-	n.right.Store(r)
+	n.showRight(now)
 	leader := n.elect.Leader()
 	if old := n.leader.Swap(&leader); old == nil || *old != leader {
 		n.leaderSince.Store(&now)
 	}
 }
 
-// election hands an event to the election.
+// election hands an event to the election, before everything else.
 func (n *Node) election(ev election.Event) {
-	n.post(func(now time.Time) { n.elected(now, n.elect.Step(now, ev)) })
+	n.postFirst(func(now time.Time) { n.elected(now, n.elect.Step(now, ev)) })
+}
+
+// postFirst hands a piece of work to the loop that goes before the inbox.
+func (n *Node) postFirst(f func(now time.Time)) {
+	select {
+	case n.urgent <- f:
+	case <-n.ctx.Done():
+	}
 }
 
 // watchLeader tells the election when the leader's key is free.
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -35,7 +35,7 @@
 			if err != nil || !a.GetGranted() {
 				return
 			}
-			n.post(func(time.Time) {
+			n.postFirst(func(time.Time) {
 				if n.term != term {
 					return
 				}
@@ -69,7 +69,7 @@
 
 // Members tells where this controller stands in the election.
 func (n *Node) Members(ctx context.Context) (*admin.Member, error) {
-	s, err := inLoop(ctx, n, func(time.Time) election.Standing { return n.elect.Standing(time.Now()) })
+	s, err := inLoop(ctx, n.urgent, func(time.Time) election.Standing { return n.elect.Standing(time.Now()) })
 	if err != nil {
 		return nil, err
 	}
@@ -99,7 +99,7 @@
 // leads.
 func (h relayed) Promise(ctx context.Context, q *peerpb.PromiseAsk) *peerpb.PromiseAnswer {
 	n := h.n
-	a, err := inLoop(ctx, n, func(time.Time) *peerpb.PromiseAnswer {
+	a, err := inLoop(ctx, n.urgent, func(time.Time) *peerpb.PromiseAnswer {
 		// Read anew: the loop's moment may be from before the leader has asked, and a
 		// promise that is counted from there would end too early.
 		now := time.Now()
--- /dev/null
+++ b/internal/node/right.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/store"
+)
+
+// right is the right to act, as it was last renewed.
+type right struct {
+	token, version uint64
+	until          time.Time
+	lease          time.Time // until when it rests on the lease at the state service
+}
+
+// onPromises tells that the right rests on the promises of the other members alone.
+func (r *right) onPromises(now time.Time) bool { return !now.Before(r.lease) && now.Before(r.until) }
+
+func (r *right) holds() bool { return r != nil && time.Now().Before(r.until) }
+
+// later is the right with the later ends of two.
+func (r *right) later(until, lease time.Time) *right {
+	out := *r
+	if until.After(out.until) {
+		out.until = until
+	}
+	if lease.After(out.lease) {
+		out.lease = lease
+	}
+	return &out
+}
+
+// showRight shows the right to act as the election knows it, unless a renewal beside the loop
+// has shown more already.
+func (n *Node) showRight(now time.Time) {
+	if n.elect.State() != election.Leading {
+		n.right.Store(nil)
+		return
+	}
+	for {
+		old := n.right.Load()
+		r := &right{n.elect.Token(), n.elect.Version(), n.elect.RightUntil(), n.elect.LeaseUntil()}
+		if old != nil && old.token == r.token {
+			r = r.later(old.until, old.lease)
+			if old.onPromises(now) != r.onPromises(now) {
+				n.log.Info("right to act", "token", r.token, "on_promises", r.onPromises(now), "until", r.until.Sub(now))
+			}
+		}
+		if !n.right.CompareAndSwap(old, r) {
+			continue // a renewal came in between
+		}
+		if n.lapsed == 0 && !r.holds() {
+			n.lapsed, n.lapsedAt = r.token, r.until
+		}
+		// Told only while it holds: a renewal's answer that has waited for long may prove a
+		// right that has run out already.
+		if n.lapsed != 0 && r.holds() {
+			if n.lapsed == r.token && n.core != nil {
+				n.log.Info("right to act is back", "token", r.token, "lapsed", now.Sub(n.lapsedAt))
+				n.core.Resume(now)
+			}
+			n.lapsed = 0
+		}
+		return
+	}
+}
+
+// touch renews the lease, and shows what that proves at once: the loop hears of it too, but
+// nothing that holds the loop keeps the right from being renewed. It is the same right by
+// the same count, from the sending (docs/safety.md, "The right to act").
+func (n *Node) touch(token, lease uint64) {
+	sent := time.Now()
+	err := n.state.Touch(lease)
+	if err == nil {
+		until := n.elect.Proves(sent)
+		for {
+			r := n.right.Load()
+			if r == nil || r.token != token {
+				break // it was given up meanwhile, and never comes back
+			}
+			if n.right.CompareAndSwap(r, r.later(until, until)) {
+				break
+			}
+		}
+		n.touched.Store(&sent)
+	}
+	n.election(election.Touched{Lease: lease, Sent: sent, Lost: errors.Is(err, store.ErrLeaseOver), Err: err})
+}
+
+// renew watches over the renewals of one leadership beside the loop, which makes them: where
+// it is late, as it is held by a pass or by too much that comes in, they are made here.
+func (n *Node) renew(token, lease uint64) {
+	life, now := n.elect.Life(), time.Now()
+	n.touched.Store(&now)
+	n.spawn(func() {
+		for n.ctx.Err() == nil {
+			store.Wait(n.ctx, life/16)
+			if r := n.right.Load(); r == nil || r.token != token {
+				return
+			}
+			if at := n.touched.Load(); at != nil && time.Since(*at) > life*3/8 {
+				n.log.Debug("renewing beside the loop", "token", token, "last", time.Since(*at))
+				n.touch(token, lease)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/sched/room.go
@@ -0,0 +1,256 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// mayStop tells whether an attempt may be stopped for a want: it has a lower
+// rank, or runs beyond another team's guarantee that the want is inside of. It must
+// also stand behind the want in the order. Guards against two kinds of work that
+// stop each other in turns: one that goes first would take its place back at once.
+func (w *Want) mayStop(v *Running) bool {
+	if v.Rank == model.Production {
+		return false // its users would miss it at once
+	}
+	rank := w.Job.Rank
+	if !v.Over && v.Attempt.Team != w.Job.Spec.Team {
+		rank = w.Job.Spec.Rank // one that was handed on does not reach into others' guarantees
+	}
+	if v.Rank >= rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
+		return false
+	}
+	return w.at.compare(v.at) < 0
+}
+
+// preempt makes room for tasks that fit nowhere: first it claims what is being
+// freed already, then it stops what loses least among the attempts that may be
+// stopped for this want. It tells for how many tasks it has found room.
+func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int, st stage) int {
+	spec := w.Job.Spec
+	if lack <= 0 || spec.Shape == model.Gang && spec.Tasks > 1 {
+		return 0
+	}
+	p.look()
+	zones := map[string]int{}
+	for z, n := range w.Zones {
+		zones[z] = n
+	}
+	lock := ""
+	if spec.OneZone {
+		if h := held(zones); len(h) > 0 {
+			lock = h[0]
+		}
+	}
+	key := shortOf(w, lock, st)
+	key.rank, key.own, key.guaranteed, key.late, key.stops = w.Job.Rank, spec.Rank, w.Guaranteed, w.at.lane == laneOvertake, len(plan.Stop)
+	if w.Guaranteed || w.Job.Rank != spec.Rank {
+		key.team = spec.Team // what makes way is not the same for all teams
+	}
+	if p.short.fits(key, spec.Need) == 0 {
+		return 0
+	}
+	// What could make way is worked out once a machine, and anew where it changes.
+	var may []candidate
+	for _, nd := range p.Nodes {
+		if nd.never(w.Job, w.Rules, lock) == Fits && st.takes(nd, spec) {
+			may = append(may, candidate{nd: nd})
+		}
+	}
+	found := 0
+	for ; lack > 0; lack-- {
+		var best *candidate
+		for i := range may {
+			c := &may[i]
+			if zone := c.nd.Machine.Zone; lock != "" && zone != lock || w.ZoneFull(zones, zone) || w.Rules.machineFull(c.nd.Machine) {
+				continue
+			}
+			if !c.known || len(c.set) > *stops {
+				c.judge(w, *stops)
+			}
+			if c.free {
+				best = c
+				break
+			}
+			if c.ok && (best == nil || c.loss < best.loss) {
+				best = c
+			}
+		}
+		if best == nil {
+			if found == 0 && lock == "" && !w.bounded() {
+				p.short.add(key, spec.Need, 0)
+			}
+			return found
+		}
+		found++
+		nd := best.nd
+		for _, i := range best.set {
+			v := nd.Victims[i]
+			plan.stop(v, w)
+			nd.Freeing = nd.Freeing.Add(v.Attempt.Need)
+			*stops--
+		}
+		nd.drop(best.set)
+		// What is free now is claimed too, so that nobody behind takes it.
+		take := model.Resources{CPU: min(spec.Need.CPU, max(nd.Free.CPU, 0)), GPU: min(spec.Need.GPU, max(nd.Free.GPU, 0)),
+			MemGB: min(spec.Need.MemGB, max(nd.Free.MemGB, 0))}
+		nd.Free = nd.Free.Sub(take)
+		nd.claimed = nd.claimed.Add(spec.Need.Sub(take))
+		zones[nd.Machine.Zone]++
+		w.Rules.put(nd.Machine, 1)
+		defer w.Rules.put(nd.Machine, -1)
+		if spec.OneZone {
+			lock = nd.Machine.Zone
+		}
+		best.known = false
+	}
+	return found
+}
+
+// candidate is a machine on which something could make way for a want.
+type candidate struct {
+	nd    *Node
+	known bool // the rest holds
+	free  bool // what is being freed is enough
+	ok    bool // the end of the set makes room
+	set   []int
+	loss  time.Duration
+}
+
+// judge works out what could make way.
+func (c *candidate) judge(w *Want, stops int) {
+	nd, spec := c.nd, w.Job.Spec
+	free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
+	c.known, c.free, c.ok, c.set = true, spec.Need.Fits(free), false, nil
+	if c.free {
+		return
+	}
+	if c.set, c.loss, c.ok = victims(nd, w, free, stops); !c.ok {
+		c.set = nil
+	} else if !nd.hasImage(spec) {
+		c.loss += fetchLoss
+	}
+}
+
+// yield makes way inside a team's limit: it stops lower work of the same team,
+// what loses least first, and none that has only just begun.
+func (p *Picture) yield(plan *Plan, w *Want, tasks, room int, stops *int) {
+	spec := w.Job.Spec
+	claim := spec.Need.Times(tasks - room)
+	spare := p.Teams[spec.Team].Limit.Sub(p.Used[spec.Team]).Sub(spec.Need.Times(room)).AtLeastZero()
+	missing := claim.Sub(p.Leaving[spec.Team]).Sub(spare)
+	type at struct {
+		nd *Node
+		i  int
+	}
+	var may []at
+	short := func() bool { return (missing.CPU > 1e-6 || missing.GPU > 1e-6) && *stops > 0 }
+	if short() {
+		p.look()
+	}
+	for _, nd := range p.Nodes {
+		if !short() {
+			break // enough is on its way out
+		}
+		for i, v := range nd.Victims {
+			if v.Attempt.Team == spec.Team && v.Rank < w.Job.Rank && w.mayStop(&v) && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
+				(v.Save > 0 || w.tier() == 0) {
+				may = append(may, at{nd, i})
+			}
+		}
+	}
+	slices.SortStableFunc(may, func(a, b at) int {
+		return cmp.Compare(cost(&a.nd.Victims[a.i], w), cost(&b.nd.Victims[b.i], w))
+	})
+	taken := map[*Node][]int{}
+	for _, v := range may {
+		if !short() {
+			break
+		}
+		r := v.nd.Victims[v.i]
+		plan.stop(r, w)
+		*stops--
+		missing = missing.Sub(r.Attempt.Need)
+		p.Leaving[spec.Team] = p.Leaving[spec.Team].Add(r.Attempt.Need)
+		v.nd.Freeing = v.nd.Freeing.Add(r.Attempt.Need)
+		taken[v.nd] = append(taken[v.nd], v.i)
+	}
+	// What is on its way out is spoken for, and so is the room that is free under
+	// the limit but too small as yet. Guards against lower work that takes the
+	// first part of what was made free, and is stopped again in the next pass, over
+	// and over.
+	left := p.Leaving[spec.Team]
+	p.Leaving[spec.Team] = left.Sub(claim).AtLeastZero()
+	p.Used[spec.Team] = p.Used[spec.Team].Add(claim.Sub(left).AtLeastZero())
+	for nd, list := range taken {
+		nd.drop(list)
+	}
+}
+
+// drop takes victims off a node's list.
+func (nd *Node) drop(list []int) {
+	slices.Sort(list)
+	for k := len(list) - 1; k >= 0; k-- {
+		nd.Victims = slices.Delete(nd.Victims, list[k], list[k]+1)
+	}
+}
+
+// fetchLoss is what the fetch of an image weighs against work that is lost.
+const fetchLoss = 30 * time.Second
+
+// victims chooses attempts on a node whose end makes room for one task.
+func victims(nd *Node, w *Want, free model.Resources, most int) ([]int, time.Duration, bool) {
+	spec := w.Job.Spec
+	if most <= 0 {
+		return nil, 0, false
+	}
+	var may []int
+	for i := range nd.Victims {
+		if w.mayStop(&nd.Victims[i]) {
+			may = append(may, i)
+		}
+	}
+	if len(may) == 0 {
+		return nil, 0, false
+	}
+	slices.SortStableFunc(may, func(a, b int) int {
+		return cmp.Compare(cost(&nd.Victims[a], w), cost(&nd.Victims[b], w))
+	})
+	var set []int
+	var loss time.Duration
+	for _, i := range may {
+		if spec.Need.Fits(free) || len(set) >= most {
+			break
+		}
+		set = append(set, i)
+		free = free.Add(nd.Victims[i].Attempt.Need)
+		loss += cost(&nd.Victims[i], w)
+	}
+	return set, loss, spec.Need.Fits(free) && len(set) > 0
+}
+
+// tight is the slack of an attempt that would likely miss its date if stopped.
+const tight = 30 * time.Second
+
+// cost is what stopping an attempt for a want loses, with what its users lose
+// weighed in.
+func cost(v *Running, w *Want) time.Duration {
+	c := v.least()
+	if w.Urgent() {
+		c = v.Loss
+	}
+	c += 5*time.Second + time.Duration(v.Rank)*5*time.Second
+	if v.Due && v.Slack >= 0 && v.Slack < tight {
+		c += 30 * time.Second
+	}
+	if v.Young {
+		c += 30 * time.Second
+	}
+	if v.Gang {
+		c += time.Minute
+	}
+	return c
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -38,6 +38,8 @@
 	Slack   time.Duration // time left to it, less the estimated run time that is left
 	Gang    bool
 	Band    int // its team's band by fair share
+
+	at standing
 }
 
 // least is what stopping the attempt loses at the least: its work, or the time
@@ -168,13 +170,24 @@
 	Zones   []string
 	RulesOf func(j *model.Job) *Rules // of a job that runs; nil: none has any
 	Look    func()                    // fills in what runs on the nodes; called once, when room is short
+
+	looked bool
+	short  shorts
 }
 
 // look has the nodes show what runs on them.
 func (p *Picture) look() {
+	if p.looked {
+		return
+	}
+	p.looked = true
 	if p.Look != nil {
 		p.Look()
-		p.Look = nil
+	}
+	for _, nd := range p.Nodes {
+		for i := range nd.Victims {
+			nd.Victims[i].at = nd.Victims[i].standing()
+		}
 	}
 }
 
@@ -319,24 +332,6 @@
 	_ = append(out, late...)
 }
 
-// mayStop tells whether an attempt may be stopped for a want: it has a lower
-// rank, or runs beyond another team's guarantee that the want is inside of. It must
-// also stand behind the want in the order. Guards against two kinds of work that
-// stop each other in turns: one that goes first would take its place back at once.
-func (w *Want) mayStop(v *Running) bool {
-	if v.Rank == model.Production {
-		return false // its users would miss it at once
-	}
-	rank := w.Job.Rank
-	if !v.Over && v.Attempt.Team != w.Job.Spec.Team {
-		rank = w.Job.Spec.Rank // one that was handed on does not reach into others' guarantees
-	}
-	if v.Rank >= rank && !(w.Guaranteed && v.Over && v.Attempt.Team != w.Job.Spec.Team) {
-		return false
-	}
-	return w.at.compare(v.standing()) < 0
-}
-
 func boolFirst(first bool) int {
 	if first {
 		return -1
@@ -524,13 +519,13 @@
 		}
 	}
 	if !spec.OneZone && spec.Shape != model.Gang {
-		got := p.fill(s, w, n, spec.Zone, st)
+		got := p.fill(s, w, n, spec.Zone, st, true)
 		p.commit(plan, w, got)
 		return len(got)
 	}
 	var best []Placement
 	for _, z := range zones {
-		got := p.fill(s, w, n, z, st)
+		got := p.fill(s, w, n, z, st, false)
 		p.undo(w, got)
 		if len(got) > len(best) {
 			best = got
@@ -577,55 +572,6 @@
 	p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(len(places)))
 }
 
-// fill chooses machines for up to n tasks, one by one: of those that fit, the
-// one whose power efficiency after placement, with what the job wishes added, is
-// highest; where that is equal, one that has the image.
-func (p *Picture) fill(s *Settings, w *Want, n int, zone string, st stage) []Placement {
-	spec := w.Job.Spec
-	var fits []*Node
-	for _, nd := range p.Nodes {
-		if spec.Need.Fits(nd.Free) && nd.never(w.Job, w.Rules, zone) == Fits && st.takes(nd, spec) {
-			fits = append(fits, nd)
-		}
-	}
-	bounded := spec.Spread || w.Rules != nil
-	var got []Placement
-	for len(got) < n {
-		var best *Node
-		var bestEff float64
-		choice := model.Choice{Of: len(fits)}
-		for _, nd := range fits {
-			// Room alone for most jobs: this is where a pass spends its time.
-			if !spec.Need.Fits(nd.Free) || bounded && nd.now(w) != Fits {
-				continue
-			}
-			used := nd.Machine.Type.Cap.Sub(nd.Free).Add(spec.Need)
-			power := Efficiency(share(nd.Machine, used), s.IdleShare)
-			image := nd.hasImage(spec)
-			eff, wish := power, 0.0
-			if w.Rules != nil {
-				wish = w.Rules.wish(nd, image)
-				eff += wish
-			}
-			// Where the efficiency is equal: the image, then the cheaper kind.
-			better := eff > bestEff+1e-9
-			if best != nil && !better && eff > bestEff-1e-9 {
-				better = image && !choice.Image || image == choice.Image && rate(nd.Machine) < 0.999*rate(best.Machine)
-			}
-			if best == nil || better {
-				best, bestEff = nd, eff
-				choice.Efficiency, choice.Wish, choice.Image = power, wish, image
-			}
-		}
-		if best == nil {
-			break
-		}
-		p.take(w, best)
-		got = append(got, Placement{w, best, choice})
-	}
-	return got
-}
-
 // kept tells whether a machine is kept for GPU work, which this job is not.
 // Guards against a few small tasks that hold the dearest machines for hours.
 func (nd *Node) kept(spec *model.Spec) bool { return nd.ForGPU && spec.Need.GPU == 0 }
@@ -635,187 +581,3 @@
 	_, ok := nd.Machine.Images[spec.Image]
 	return ok
 }
-
-// preempt makes room for tasks that fit nowhere: first it claims what is being
-// freed already, then it stops what loses least among the attempts that may be
-// stopped for this want. It tells for how many tasks it has found room.
-func (p *Picture) preempt(plan *Plan, w *Want, lack int, stops *int, st stage) int {
-	spec := w.Job.Spec
-	found := 0
-	if lack <= 0 {
-		return 0
-	}
-	p.look()
-	if spec.Shape == model.Gang && spec.Tasks > 1 {
-		return 0
-	}
-	zones := map[string]int{}
-	for z, n := range w.Zones {
-		zones[z] = n
-	}
-	lock := ""
-	if spec.OneZone {
-		if h := held(zones); len(h) > 0 {
-			lock = h[0]
-		}
-	}
-	for ; lack > 0; lack-- {
-		var best *Node
-		var bestSet []int
-		var bestLoss time.Duration
-		for _, nd := range p.Nodes {
-			if nd.never(w.Job, w.Rules, lock) != Fits || w.ZoneFull(zones, nd.Machine.Zone) || w.Rules.machineFull(nd.Machine) || !st.takes(nd, spec) {
-				continue
-			}
-			free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
-			if spec.Need.Fits(free) {
-				best, bestSet = nd, nil
-				break
-			}
-			set, loss, ok := victims(nd, w, free, *stops)
-			if !nd.hasImage(spec) {
-				loss += fetchLoss
-			}
-			if ok && (best == nil || loss < bestLoss) {
-				best, bestSet, bestLoss = nd, set, loss
-			}
-		}
-		if best == nil {
-			return found
-		}
-		found++
-		for _, i := range bestSet {
-			v := best.Victims[i]
-			plan.stop(v, w)
-			best.Freeing = best.Freeing.Add(v.Attempt.Need)
-			*stops--
-		}
-		best.drop(bestSet)
-		// What is free now is claimed too, so that nobody behind takes it.
-		take := model.Resources{CPU: min(spec.Need.CPU, max(best.Free.CPU, 0)), GPU: min(spec.Need.GPU, max(best.Free.GPU, 0)),
-			MemGB: min(spec.Need.MemGB, max(best.Free.MemGB, 0))}
-		best.Free = best.Free.Sub(take)
-		best.claimed = best.claimed.Add(spec.Need.Sub(take))
-		zones[best.Machine.Zone]++
-		w.Rules.put(best.Machine, 1)
-		defer w.Rules.put(best.Machine, -1)
-		if spec.OneZone {
-			lock = best.Machine.Zone
-		}
-	}
-	return found
-}
-
-// yield makes way inside a team's limit: it stops lower work of the same team,
-// what loses least first, and none that has only just begun.
-func (p *Picture) yield(plan *Plan, w *Want, tasks, room int, stops *int) {
-	spec := w.Job.Spec
-	claim := spec.Need.Times(tasks - room)
-	spare := p.Teams[spec.Team].Limit.Sub(p.Used[spec.Team]).Sub(spec.Need.Times(room)).AtLeastZero()
-	missing := claim.Sub(p.Leaving[spec.Team]).Sub(spare)
-	type at struct {
-		nd *Node
-		i  int
-	}
-	var may []at
-	short := func() bool { return (missing.CPU > 1e-6 || missing.GPU > 1e-6) && *stops > 0 }
-	if short() {
-		p.look()
-	}
-	for _, nd := range p.Nodes {
-		if !short() {
-			break // enough is on its way out
-		}
-		for i, v := range nd.Victims {
-			if v.Attempt.Team == spec.Team && v.Rank < w.Job.Rank && w.mayStop(&v) && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
-				(v.Save > 0 || w.tier() == 0) {
-				may = append(may, at{nd, i})
-			}
-		}
-	}
-	slices.SortStableFunc(may, func(a, b at) int {
-		return cmp.Compare(cost(&a.nd.Victims[a.i], w), cost(&b.nd.Victims[b.i], w))
-	})
-	taken := map[*Node][]int{}
-	for _, v := range may {
-		if !short() {
-			break
-		}
-		r := v.nd.Victims[v.i]
-		plan.stop(r, w)
-		*stops--
-		missing = missing.Sub(r.Attempt.Need)
-		p.Leaving[spec.Team] = p.Leaving[spec.Team].Add(r.Attempt.Need)
-		v.nd.Freeing = v.nd.Freeing.Add(r.Attempt.Need)
-		taken[v.nd] = append(taken[v.nd], v.i)
-	}
-	// What is on its way out is spoken for, and so is the room that is free under
-	// the limit but too small as yet. Guards against lower work that takes the
-	// first part of what was made free, and is stopped again in the next pass, over
-	// and over.
-	left := p.Leaving[spec.Team]
-	p.Leaving[spec.Team] = left.Sub(claim).AtLeastZero()
-	p.Used[spec.Team] = p.Used[spec.Team].Add(claim.Sub(left).AtLeastZero())
-	for nd, list := range taken {
-		nd.drop(list)
-	}
-}
-
-// drop takes victims off a node's list.
-func (nd *Node) drop(list []int) {
-	slices.Sort(list)
-	for k := len(list) - 1; k >= 0; k-- {
-		nd.Victims = slices.Delete(nd.Victims, list[k], list[k]+1)
-	}
-}
-
-// fetchLoss is what the fetch of an image weighs against work that is lost.
-const fetchLoss = 30 * time.Second
-
-// victims chooses attempts on a node whose end makes room for one task.
-func victims(nd *Node, w *Want, free model.Resources, most int) ([]int, time.Duration, bool) {
-	spec := w.Job.Spec
-	var may []int
-	for i, v := range nd.Victims {
-		if w.mayStop(&v) {
-			may = append(may, i)
-		}
-	}
-	slices.SortStableFunc(may, func(a, b int) int {
-		return cmp.Compare(cost(&nd.Victims[a], w), cost(&nd.Victims[b], w))
-	})
-	var set []int
-	var loss time.Duration
-	for _, i := range may {
-		if spec.Need.Fits(free) || len(set) >= most {
-			break
-		}
-		set = append(set, i)
-		free = free.Add(nd.Victims[i].Attempt.Need)
-		loss += cost(&nd.Victims[i], w)
-	}
-	return set, loss, spec.Need.Fits(free) && len(set) > 0
-}
-
-// tight is the slack of an attempt that would likely miss its date if stopped.
-const tight = 30 * time.Second
-
-// cost is what stopping an attempt for a want loses, with what its users lose
-// weighed in.
-func cost(v *Running, w *Want) time.Duration {
-	c := v.least()
-	if w.Urgent() {
-		c = v.Loss
-	}
-	c += 5*time.Second + time.Duration(v.Rank)*5*time.Second
-	if v.Due && v.Slack >= 0 && v.Slack < tight {
-		c += 30 * time.Second
-	}
-	if v.Young {
-		c += 30 * time.Second
-	}
-	if v.Gang {
-		c += time.Minute
-	}
-	return c
-}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -389,3 +390,53 @@
 		}
 	}
 }
+
+// The queue of machines gives what a look at all of them for each task gives, on pictures
+// and wants drawn at random, also where it leaves out what did not fit before.
+func TestFillingFromAQueueIsTheSameAsLookingAtAll(t *testing.T) {
+	r := rand.New(rand.NewPCG(7, 7))
+	types := []*model.MachineType{
+		{Name: "a", Cap: model.Resources{CPU: 4, MemGB: 16}, Price: 0.17, SpotPrice: 0.05},
+		{Name: "b", Cap: model.Resources{CPU: 48, GPU: 4, MemGB: 384}, Price: 9.7, SpotPrice: 2.7},
+		{Name: "c", Cap: model.Resources{CPU: 8, MemGB: 64}, Price: 0.4, SpotPrice: 0.1},
+	}
+	set := &Settings{IdleShare: 0.7}
+	for round := range 200 {
+		one, all := &Picture{}, &Picture{}
+		for i := range 60 {
+			m := &model.Machine{Name: fmt.Sprint(i), Zone: []string{"x", "y"}[r.IntN(2)], Spot: r.IntN(3) == 0, Type: types[r.IntN(len(types))], Images: map[string]time.Time{}}
+			m.Images[fmt.Sprint("img", r.IntN(3))] = time.Time{}
+			free := m.Type.Cap
+			free.CPU -= float64(r.IntN(int(free.CPU)))
+			for _, p := range []*Picture{one, all} {
+				p.Nodes = append(p.Nodes, &Node{Machine: m, Free: free})
+			}
+		}
+		for i := range 12 {
+			spec := &model.Spec{ID: fmt.Sprint(i), Shape: model.Array, Tasks: 40, Spot: r.IntN(2) == 0, Image: fmt.Sprint("img", r.IntN(3)),
+				Need: model.Resources{CPU: float64(1 + r.IntN(6)), GPU: float64(r.IntN(8) / 7), MemGB: 2}}
+			if r.IntN(4) == 0 {
+				spec.Zone = "x"
+			}
+			n, st := 1+r.IntN(40), stage{image: r.IntN(3) == 0}
+			want := func() *Want { return &Want{Job: model.NewJob(spec, time.Time{}, 1), Zones: map[string]int{}} }
+			got := one.fill(set, want(), n, spec.Zone, st, true)
+			var fits []*Node
+			w := want()
+			for _, nd := range all.Nodes {
+				if spec.Need.Fits(nd.Free) && nd.never(w.Job, nil, spec.Zone) == Fits && st.takes(nd, spec) {
+					fits = append(fits, nd)
+				}
+			}
+			ref := all.fillBounded(set, w, n, fits)
+			if len(got) != len(ref) {
+				t.Fatalf("round %d, want %d: %d placed, %d by looking at all", round, i, len(got), len(ref))
+			}
+			for k := range got {
+				if got[k].Node.Machine != ref[k].Node.Machine || got[k].Image != ref[k].Image || math.Abs(got[k].Efficiency-ref[k].Efficiency) > 1e-9 {
+					t.Fatalf("round %d, want %d, task %d: on %s, and on %s by looking at all", round, i, k, got[k].Node.Machine.Name, ref[k].Node.Machine.Name)
+				}
+			}
+		}
+	}
+}
