Every socket has an owner with a share: reports and health get in, users are answered at once

At 2,700 machines a leader stood at its last socket; front took two thirds of all sockets for whoever came first, direct commands kept one a worker open for 20 s.

internal/budget holds the accounts: shares by owner follow from max_connections; newcomers that say nothing and users that ask nothing make room; three named levels with hysteresis (roomy, tight, full), logged. Direct commands close the connections of the workers that were sent nothing for longest.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -22,9 +22,10 @@
 	timeout time.Duration
 }
 
-// New makes a client. The rate is this controller's share.
-func New(addr string, perSecond float64, timeout time.Duration) *Client {
-	return &Client{c: rpc.New(addr, 8), budget: rate.NewLimiter(rate.Limit(perSecond), 1), timeout: timeout}
+// New makes a client. The rate is this controller's share; connections are made under a
+// condition (rpc.New).
+func New(addr string, perSecond float64, timeout time.Duration, under func(rpc.Dial) rpc.Dial) *Client {
+	return &Client{c: rpc.New(addr, 8, under), budget: rate.NewLimiter(rate.Limit(perSecond), 1), timeout: timeout}
 }
 
 // SetRate sets this controller's share of the published limit.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,12 +7,12 @@
 	"errors"
 	"log/slog"
 	"net"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/glentiller/glentiller/internal/budget"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/wire"
@@ -58,8 +58,9 @@
 // Settings are the front's.
 type Settings struct {
 	RetryAfter time.Duration
-	Conns      int
-	Rules      bool // submissions may carry rules
+	Conns      int            // the most that the platform allows
+	Sockets    *budget.Budget // who may hold them
+	Rules      bool           // submissions may carry rules
 }
 
 // Server answers requests.
@@ -92,6 +93,7 @@
 		ReduceMemoryUsage:             true,
 		CloseOnShutdown:               true,
 		Logger:                        quiet{},
+		ConnState:                     connState(now),
 	}
 	return s
 }
@@ -102,7 +104,12 @@
 func (quiet) Printf(string, ...any) {}
 
 // Serve answers requests until the listener is closed.
-func (s *Server) Serve(l net.Listener) error { return s.httpSrv.Serve(l) }
+func (s *Server) Serve(l net.Listener) error {
+	if s.set.Sockets == nil {
+		return s.httpSrv.Serve(l)
+	}
+	return s.httpSrv.Serve(&budget.Listener{Listener: l, Budget: s.set.Sockets, Owner: budget.Newcomers, Now: s.now, Refuse: s.refuse})
+}
 
 // Shutdown stops serving.
 func (s *Server) Shutdown() error { return s.httpSrv.Shutdown() }
@@ -133,6 +140,9 @@
 		}
 	}()
 	path := string(c.URI().PathOriginal())
+	if !s.welcome(c, path) {
+		return
+	}
 	switch {
 	case path == "/v1/report":
 		if s.method(c, fasthttp.MethodPost) {
@@ -183,7 +193,7 @@
 
 // unavailable tells the other side to come back.
 func (s *Server) unavailable(c *fasthttp.RequestCtx, why string) {
-	c.Response.Header.Set("Retry-After", strconv.Itoa(max(1, int(s.set.RetryAfter.Round(time.Second)/time.Second))))
+	s.comeBack(c, s.set.RetryAfter)
 	s.reply(c, fasthttp.StatusServiceUnavailable, wire.AppendError(nil, why))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/glentiller/glentiller/internal/admin"
+	"github.com/glentiller/glentiller/internal/budget"
 	"github.com/glentiller/glentiller/internal/cloud"
 	"github.com/glentiller/glentiller/internal/config"
 	"github.com/glentiller/glentiller/internal/control"
@@ -41,6 +42,7 @@
 	front   *front.Server
 	peers   map[string]*peer.Client
 	relays  relays
+	sockets *budget.Budget
 	teams   map[string]*model.Team
 
 	group  *errgroup.Group
@@ -80,24 +82,27 @@
 	for i := range teams {
 		n.teams[teams[i].Name] = &teams[i]
 	}
-	n.state = store.New(p.Outside.State, o.Front.StateTimeout.D())
+	conns := p.Deployment.Limits.MaxConnections
+	if conns == 0 {
+		conns = 1000
+	}
+	n.sockets = budget.New(conns, len(p.Members), func(from, to budget.Level, used, most int) {
+		log.Info("sockets", "from", from.String(), "to", to.String(), "used", used, "most", most)
+	})
+	n.state = store.New(p.Outside.State, o.Front.StateTimeout.D(), n.sockets.Dial(budget.State))
 	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, config.Store(p), n.jobsChanged, log)
-	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout)
-	n.workers = worker.New(o.Workers.DirectWait.D())
+	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout, n.sockets.Dial(budget.Cloud))
+	n.workers = worker.New(o.Workers.DirectWait.D(), n.sockets.Dial(budget.Direct))
 	set := config.Election(p, o)
 	n.elect = election.New(time.Now(), set, log)
 	if o.Promises != nil && set.Promise == 0 {
 		log.Warn("promises stay off: workers' leases, the leader's lease and 3 s are not below cancel_s", "lease_s", p.Deployment.Workers.Lease,
 			"leader_lease", set.Life, "cancel_s", p.Deployment.Workers.Cancel)
 	}
-	conns := p.Deployment.Limits.MaxConnections
-	if conns == 0 {
-		conns = 1000
-	}
-	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns * 2 / 3, Rules: o.Constraints != nil}, n.jobs, n, time.Now, log)
+	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns, Sockets: n.sockets, Rules: o.Constraints != nil}, n.jobs, n, time.Now, log)
 	n.peers = map[string]*peer.Client{}
 	for _, m := range p.Members {
-		n.peers[m.Member] = peer.NewClient(m.Addr)
+		n.peers[m.Member] = peer.NewClient(m.Addr, n.sockets.Dial(budget.Peers))
 	}
 	n.share(false)
 	return n
@@ -151,7 +156,9 @@
 	if err := n.serveAdmin(); err != nil {
 		return errors.Join(err, l.Close(), back.Close())
 	}
-	n.group.Go(func() error { return peer.Serve(n.ctx, back, relayed{n}) })
+	n.group.Go(func() error {
+		return peer.Serve(n.ctx, &budget.Listener{Listener: back, Budget: n.sockets, Owner: budget.Peers, Now: time.Now}, relayed{n})
+	})
 	n.group.Go(func() error { return n.tellProgress() })
 	n.group.Go(func() error { return n.loop() })
 	n.group.Go(func() error { return n.jobs.Run(n.ctx) })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/glentiller/glentiller/internal/peer/peerpb"
+	"github.com/glentiller/glentiller/internal/rpc"
 )
 
 // Handler is what a controller does with messages of the others.
@@ -115,6 +116,7 @@
 // it needs it.
 type Client struct {
 	addr string
+	dial rpc.Dial
 
 	mu      sync.Mutex
 	conn    net.Conn
@@ -123,9 +125,14 @@
 	waiting map[uint64]chan *peerpb.Envelope
 }
 
-// NewClient makes a client.
-func NewClient(addr string) *Client {
-	return &Client{addr: addr, waiting: map[uint64]chan *peerpb.Envelope{}}
+// NewClient makes a client; connections are made under a condition (rpc.New).
+func NewClient(addr string, under func(rpc.Dial) rpc.Dial) *Client {
+	c := &Client{addr: addr, dial: func(addr string) (net.Conn, error) { return net.DialTimeout("tcp4", addr, dialTimeout) },
+		waiting: map[uint64]chan *peerpb.Envelope{}}
+	if under != nil {
+		c.dial = under(c.dial)
+	}
+	return c
 }
 
 var errBusy = errors.New("a connection is being made")
@@ -143,7 +150,7 @@
 	}
 	c.dialing = true
 	c.mu.Unlock()
-	conn, err := net.DialTimeout("tcp4", c.addr, dialTimeout)
+	conn, err := c.dial(c.addr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dialing = false
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -59,7 +59,7 @@
 
 func TestReportsAreRelayedAndProgressIsTold(t *testing.T) {
 	h, addr := start(t)
-	c := NewClient(addr)
+	c := NewClient(addr, nil)
 	if a, err := c.Ask(t.Context(), &peerpb.Ask{Explain: "wk-000001"}); err != nil || string(a.GetBody()) != "why wk-000001" {
 		t.Fatalf("a question: got %v, %v", a, err)
 	}
@@ -84,7 +84,7 @@
 // allows, and the next report gets through on a connection of its own.
 func TestALeaderThatHangsHoldsNobodyUp(t *testing.T) {
 	_, addr := start(t)
-	c := NewClient(addr)
+	c := NewClient(addr, nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(0, cancel)
 	if _, err := c.Relay(ctx, []byte("hang")); !errors.Is(err, context.Canceled) {
@@ -102,7 +102,7 @@
 	}
 	addr := l.Addr().String()
 	_ = l.Close()
-	if a, err := NewClient(addr).Relay(t.Context(), []byte("x")); err == nil {
+	if a, err := NewClient(addr, nil).Relay(t.Context(), []byte("x")); err == nil {
 		t.Errorf("got %v", a)
 	}
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -41,8 +41,16 @@
 // dialTimeout bounds how long a connection may take to come about.
 const dialTimeout = time.Second
 
-// New makes a client for an address with up to conns connections.
-func New(addr string, conns int) *Client {
+// Dial makes a connection.
+type Dial func(addr string) (net.Conn, error)
+
+// New makes a client for an address with up to conns connections. under puts the making of
+// connections under a condition, such as a budget of sockets; nil: there is none.
+func New(addr string, conns int, under func(Dial) Dial) *Client {
+	open := Dial(dial)
+	if under != nil {
+		open = under(open)
+	}
 	return &Client{hc: &fasthttp.HostClient{
 		Addr:                          addr,
 		MaxConns:                      conns,
@@ -53,17 +61,17 @@
 		DisablePathNormalizing:        true,
 		DisableHeaderNamesNormalizing: true,
 		MaxConnWaitTimeout:            500 * time.Millisecond,
-		Dial:                          dial,
+		Dial: func(addr string) (net.Conn, error) {
+			c, err := open(addr)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+			}
+			return c, nil
+		},
 	}}
 }
 
-func dial(addr string) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp4", addr, dialTimeout)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	return c, nil
-}
+func dial(addr string) (net.Conn, error) { return net.DialTimeout("tcp4", addr, dialTimeout) }
 
 // Close closes the idle connections.
 func (c *Client) Close() { c.hc.CloseIdleConnections() }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,9 +44,9 @@
 	badSince       atomic.Int64              // when requests began to fail, in nanoseconds; 0: the last one was answered
 }
 
-// New makes a client. The rates are this controller's share.
-func New(addr string, timeout time.Duration) *Client {
-	return NewOver(rpc.New(addr, 48), rpc.New(addr, 8), timeout)
+// New makes a client; connections are made under a condition (rpc.New).
+func New(addr string, timeout time.Duration, under func(rpc.Dial) rpc.Dial) *Client {
+	return NewOver(rpc.New(addr, 48, under), rpc.New(addr, 8, under), timeout)
 }
 
 // NewOver makes a client over given transports, one of them for watches.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -3,12 +3,15 @@
 package worker
 
 import (
+	"container/list"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/glentiller/glentiller/internal/budget"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/rpc"
 	"github.com/glentiller/glentiller/internal/wire"
@@ -17,11 +20,15 @@
 // Client sends commands to workers, over few connections a worker.
 type Client struct {
 	timeout time.Duration
-	mu      sync.Mutex
-	byAddr  map[string]*conn
+	under   func(rpc.Dial) rpc.Dial
+
+	mu     sync.Mutex
+	byAddr map[string]*list.Element
+	order  *list.List // of *conn, those that were used last at the back
 }
 
 type conn struct {
+	addr   string
 	client *rpc.Client
 	used   time.Time
 }
@@ -30,9 +37,45 @@
 // and go, and their addresses with them.
 const unused = 2 * time.Minute
 
-// New makes a client.
-func New(timeout time.Duration) *Client {
-	return &Client{timeout: timeout, byAddr: map[string]*conn{}}
+// New makes a client; connections are made under a condition (rpc.New).
+func New(timeout time.Duration, under func(rpc.Dial) rpc.Dial) *Client {
+	c := &Client{timeout: timeout, byAddr: map[string]*list.Element{}, order: list.New()}
+	c.under = func(dial rpc.Dial) rpc.Dial {
+		if under != nil {
+			dial = under(dial)
+		}
+		return func(addr string) (net.Conn, error) {
+			conn, err := dial(addr)
+			if errors.Is(err, budget.ErrFull) && c.yield() {
+				conn, err = dial(addr)
+			}
+			return conn, err
+		}
+	}
+	return c
+}
+
+// yield closes the connections to the workers that were sent nothing for longest, so that
+// others can be sent something. It is false where there are none to close.
+func (c *Client) yield() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for e := c.order.Front(); e != nil && n < yields && time.Since(e.Value.(*conn).used) > c.timeout; e = c.order.Front() {
+		c.forget(e)
+		n++
+	}
+	return n > 0
+}
+
+// yields is how many workers' connections are closed at once.
+const yields = 16
+
+// forget closes the connections to a worker. The lock is held.
+func (c *Client) forget(e *list.Element) {
+	old := c.order.Remove(e).(*conn)
+	old.client.Close()
+	delete(c.byAddr, old.addr)
 }
 
 func (c *Client) client(addr string, now time.Time) *rpc.Client {
@@ -40,17 +83,16 @@
 	defer c.mu.Unlock()
 	e := c.byAddr[addr]
 	if e == nil {
-		for a, old := range c.byAddr {
-			if now.Sub(old.used) > unused {
-				old.client.Close()
-				delete(c.byAddr, a)
-			}
+		for o := c.order.Front(); o != nil && now.Sub(o.Value.(*conn).used) > unused; o = c.order.Front() {
+			c.forget(o)
 		}
-		e = &conn{client: rpc.New(addr, 2)}
+		e = c.order.PushBack(&conn{addr: addr, client: rpc.New(addr, 2, c.under)})
 		c.byAddr[addr] = e
 	}
-	e.used = now
-	return e.client
+	c.order.MoveToBack(e)
+	w := e.Value.(*conn)
+	w.used = now
+	return w.client
 }
 
 // Reply is what became of commands.
