A new leader starts at once what no machine in doubt can hold

While any machine had not answered a new leader, nothing accepted before was started: with a zone or some hundred machines out of reach everything waited for their leases. What a job may not use by type, zone, spot or size cannot hold its tasks (safety.md, Rebuilding), so it need not wait. A story: spot machines are cut, replicas that may not use them run within 6 s.

--- a/internal/control/accounting.go
+++ b/internal/control/accounting.go
@@ -148,7 +148,7 @@
 		return ledger.Awaits
 	case now.Before(j.NotBefore):
 		return ledger.Backoff
-	case c.unsure > 0 && j.Version <= c.rev && !j.Fresh:
+	case c.inDoubt(j):
 		return ledger.Takeover
 	case !lacks, reason == sched.WhyLimit:
 		return ledger.Limit // what a pass does not lack and does not place is beyond the limit
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -92,6 +92,7 @@
 	use      map[string]*model.Usage // by team
 	stray    model.Usage             // of attempts whose job has ended and whose needs are not known any more
 	unsure   int                     // machines that may hold tasks that nobody here knows
+	doubts   map[machineKind]int     // of what kinds those are
 
 	gpuNeed map[model.Resources]bool    // GPU requests seen: machines are kept for them
 	keptGPU map[*model.MachineType]bool // types that are, as of the last pass
@@ -143,7 +144,7 @@
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, graph: model.NewGraph(), times: map[string][]float64{}, machines: map[string]*model.Machine{},
 		gone: map[string]time.Time{}, use: map[string]*model.Usage{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
-		dirtyJobs: map[string]bool{}, ruled: map[*model.Job]*ruled{}, keptGPU: map[*model.MachineType]bool{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
+		dirtyJobs: map[string]bool{}, ruled: map[*model.Job]*ruled{}, keptGPU: map[*model.MachineType]bool{}, doubts: map[machineKind]int{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt: now.Add(set.SilentAfter)}
 	for i := range set.Teams {
 		c.teams[set.Teams[i].Name] = &set.Teams[i]
@@ -199,8 +200,9 @@
 	}
 	for _, l := range snap.Machines {
 		m := c.newMachine(now, l, model.Unsettled)
-		m.Registered, m.Unsure = true, true
+		m.Registered, m.Unsure, m.Recorded = true, true, l
 		c.unsure++
+		c.doubts[kindOf(m)]++
 	}
 	c.openAccounts(now, snap)
 	c.log.Info("takeover", "token", token, "jobs", len(c.jobs), "machines", len(c.machines))
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -81,7 +81,7 @@
 		say(&e.Change, "a version that reads them has to lead, or it has to be cancelled")
 	case now.Before(j.NotBefore):
 		say(&e.Why, "its tasks failed or were refused; they are tried again in %v", j.NotBefore.Sub(now).Round(time.Second))
-	case c.unsure > 0 && j.Version <= c.rev && !j.Fresh:
+	case c.inDoubt(j):
 		say(&e.Why, "the new leader does not know yet what runs on %d machines, and a task of it might", c.unsure)
 	case s.Shape == model.Gang && len(j.Live) > 0:
 		say(&e.Why, "%d tasks of the attempt before are not gone yet", len(j.Live))
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -117,6 +117,11 @@
 func (c *Core) settle(now time.Time, m *model.Machine, why string) {
 	m.Unsure = false
 	c.unsure--
+	if k := kindOf(m); c.doubts[k] > 1 {
+		c.doubts[k]--
+	} else {
+		delete(c.doubts, k)
+	}
 	if m.State == model.Unsettled {
 		m.Set(now, model.Ready, "")
 	}
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -258,9 +258,7 @@
 	if !mayStart(j) || j.Waiting() == 0 || !c.readable(j) {
 		return
 	}
-	// A task of a job from before the takeover may sit on a machine that is not
-	// settled yet; a job that was accepted later cannot.
-	if c.unsure > 0 && j.Version <= c.rev && !j.Fresh || now.Before(j.NotBefore) {
+	if c.inDoubt(j) || now.Before(j.NotBefore) {
 		return
 	}
 	s := j.Spec
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -213,6 +213,40 @@
 	}
 }
 
+// Spot machines are cut off when the leader ends: what may not use them goes on at once, what
+// may waits until their leases have certainly run out.
+func TestANewLeaderStartsWhatNoMachineInDoubtCanHold(t *testing.T) {
+	w := grown(t, 3, 4) // limits hold for machines in doubt as if they were full
+	w.full = true
+	for range 3 {
+		w.machines++
+		w.AddMachine(model.Listed{Machine: fmt.Sprintf("n-%06d", w.machines), Type: "eight", Zone: "a", Spot: true})
+	}
+	w.Run = 60 * second
+	w.Pass(8 * second)
+	may := job(model.Array, 4, func(s *model.Spec) { s.Rank = model.Low })
+	not := job(model.Service, 4, func(s *model.Spec) { s.Rank, s.Spot = model.Production, false })
+	submit(t, w, may)
+	submit(t, w, not)
+	until(t, w, 20*second, "all run", func() bool { return on(w, may) == 4 && on(w, not) == 4 })
+	for _, k := range w.Workers {
+		if k.Spot {
+			k.Cut = true
+		} else if len(k.Tasks) > 0 { // what ran there is lost, and starts again
+			k.Session++
+			k.Tasks, k.renewed = map[model.AttemptKey]*Task{}, w.now
+		}
+	}
+	old := w.Leader()
+	old.Crash()
+	until(t, w, 20*second, "another leads", func() bool { l := w.Leader(); return l != nil && l != old })
+	since := w.Now()
+	until(t, w, 6*second, "what may not use spot machines runs", func() bool { return on(w, not) == 4 })
+	if starts(w, may) > 4 && w.Now().Sub(since) < w.Lease {
+		t.Error("a task that may sit on a machine in doubt was started again")
+	}
+}
+
 func TestDeposedLeaderWritesNothing(t *testing.T) {
 	w := deployment(t, 2)
 	old := w.Leader()
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -177,7 +177,8 @@
 
 	// Unsure: it is from before the takeover, and neither a report with this
 	// leader's token has come nor has its lease certainly run out.
-	Unsure bool
+	Unsure   bool
+	Recorded Listed // where it is unsure: what its record says of it
 
 	Session, Seq, Token uint64    // of the newest report
 	Deadline            time.Time // by then its worker's lease has certainly run out unless a report is answered
