New jobs wait when memory is short; sockets and the loop's holds in the operators' interface

A story over an in-memory network: users that hold connections open and say nothing keep no worker out.

--- a/cmd/glentiller/member.go
+++ b/cmd/glentiller/member.go
@@ -48,5 +48,14 @@
 	if m.StateDown > 0 {
 		fmt.Printf("the state service has not answered it for %.1f s\n", m.StateDown)
 	}
+	fmt.Printf("sockets: %s, %d of %d held, %d at the most\n", m.Sockets.Level, m.Sockets.Used, m.Sockets.Most, m.Sockets.Peak)
+	for _, o := range slices.Sorted(maps.Keys(m.Sockets.Owners)) {
+		if a := m.Sockets.Owners[o]; a.Used > 0 || a.Turned > 0 {
+			fmt.Printf("  %-10s %d of %d, %d turned away\n", o, a.Used, a.Share, a.Turned)
+		}
+	}
+	if m.Load.By != "" {
+		fmt.Printf("the loop was held for %.3f s at the most by %s lately; %d messages wait\n", m.Load.Hold, m.Load.By, m.Load.Inbox)
+	}
 	return nil
 }
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -112,6 +112,31 @@
 	Promises  map[string]float64 `json:"promises_s"`         // promised to this leader, by member
 	Bound     float64            `json:"bound_s"`            // in which it claims nothing, for what it has promised
 	StateDown float64            `json:"state_unanswered_s"` // since when the state service has not answered it
+	Sockets   Sockets            `json:"sockets"`
+	Load      Load               `json:"load"`
+}
+
+// Sockets is how a controller's sockets are held.
+type Sockets struct {
+	Level  string            `json:"level"` // roomy, tight or full
+	Used   int               `json:"used"`
+	Peak   int               `json:"peak"` // since its start
+	Most   int               `json:"most"`
+	Owners map[string]Socket `json:"owners"`
+}
+
+// Socket is what one owner of sockets holds.
+type Socket struct {
+	Used   int    `json:"used"`
+	Share  int    `json:"share"`
+	Turned uint64 `json:"turned_away"` // since the start
+}
+
+// Load is how busy a controller is.
+type Load struct {
+	Hold  float64 `json:"longest_hold_s"` // of the loop that decides, since the last word in the log
+	By    string  `json:"longest_hold_by"`
+	Inbox int     `json:"inbox"` // messages that wait for it
 }
 
 // Verified is what became of checking one team's pages.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -124,3 +124,23 @@
 		t.Errorf("all come back after %v", times)
 	}
 }
+
+func TestMemoryIsShortBeforeItIsGone(t *testing.T) {
+	moves := 0
+	m := NewMemory(100<<20, func(bool, uint64, uint64) { moves++ })
+	for _, c := range []struct {
+		held  uint64
+		short bool
+	}{{30 << 20, false}, {44 << 20, false}, {46 << 20, true}, {40 << 20, true}, {37 << 20, false}, {40 << 20, false}} {
+		if m.Weigh(c.held); m.Short() != c.short {
+			t.Errorf("%d MB of 100 held: short %v", c.held>>20, m.Short())
+		}
+	}
+	if moves != 2 {
+		t.Errorf("told %d times of 2 changes", moves)
+	}
+	m = NewMemory(0, nil)
+	if m.Weigh(1 << 40); m.Short() {
+		t.Error("short of a memory that is not bounded")
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,6 +51,8 @@
 	Types() []model.MachineType
 	// Team finds a team.
 	Team(name string) *model.Team
+	// Short tells that there is no memory for more jobs.
+	Short() bool
 	// Healthy tells whether this controller can take requests.
 	Healthy() bool
 }
@@ -122,6 +124,9 @@
 
 const jobsPath = "/api/jobs"
 
+// shortOfMemory is when to come back with a job that there was no memory for.
+const shortOfMemory = 5 * time.Second
+
 // userWait bounds how long a user's request may take; users give up after 5 s,
 // polls after 2 s.
 const (
@@ -252,6 +257,11 @@
 		}
 		return
 	}
+	if s.back.Short() {
+		s.comeBack(c, shortOfMemory)
+		s.reply(c, fasthttp.StatusTooManyRequests, wire.AppendError(nil, "no memory for more jobs: try again"))
+		return
+	}
 	created, v, err := s.jobs.Accept(ctx, spec, doomed, s.now())
 	switch {
 	case errors.Is(err, store.ErrRejected):
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -11,7 +12,9 @@
 	"maps"
 	"net"
 	"os"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +22,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
+	"github.com/glentiller/glentiller/internal/budget"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/wire"
@@ -84,6 +88,7 @@
 	types   []model.MachineType
 	verdict Verdict
 	relayed []byte
+	short   bool
 }
 
 func (b *backend) Report(context.Context, *model.Report) Verdict { return b.verdict }
@@ -99,6 +104,7 @@
 	return &model.Team{Name: name, Limit: model.Resources{CPU: 64}}
 }
 func (b *backend) Healthy() bool { return true }
+func (b *backend) Short() bool   { return b.short }
 
 // serve runs a front in memory and returns what sends requests to it.
 func serve(t *testing.T, r *records, b *backend) func(method, path string, body any) (int, map[string]any, string) {
@@ -289,6 +295,88 @@
 	}
 }
 
+func TestWithoutMemoryNewJobsWaitAndKnownOnesAreAnswered(t *testing.T) {
+	r := &records{known: map[string]store.JobView{"wk-000001": {State: wire.StateQueued}}}
+	do := serve(t, r, &backend{types: eight, short: true})
+	if code, _, after := do("POST", "/api/jobs", submission("wk-000002")); code != 429 || after == "" {
+		t.Errorf("a new job: got %d, Retry-After %q", code, after)
+	}
+	if code, _, _ := do("POST", "/api/jobs", submission("wk-000001")); code != 200 {
+		t.Errorf("a known one: got %d", code)
+	}
+	if code, _, _ := do("POST", "/api/jobs/wk-000001/withdraw", nil); code != 200 {
+		t.Errorf("a cancellation: got %d", code)
+	}
+}
+
+// Some users hold connections open and say nothing, others hold all that users may. Workers and
+// probes get in all the same, and a new user hears at once when to come back.
+func TestWorkersGetInBesideUsersThatHoldConnectionsOpen(t *testing.T) {
+	var clock atomic.Int64
+	now := func() time.Time { return time.Unix(1e9+clock.Load(), 0) }
+	sockets := budget.New(200, 1, nil)
+	s := New(Settings{RetryAfter: time.Second, Conns: 200, Sockets: sockets}, &records{known: map[string]store.JobView{"wk-000001": {State: wire.StateQueued}}},
+		&backend{verdict: Verdict{Act: true, Token: 41, Valid: func() bool { return true }}, types: eight}, now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l := fasthttputil.NewInmemoryListener()
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	ask := func(c net.Conn, method, path string, body []byte) (int, string) {
+		t.Helper()
+		var req fasthttp.Request
+		var res fasthttp.Response
+		req.Header.SetMethod(method)
+		req.SetRequestURI("http://front" + path)
+		req.SetBody(body)
+		_, _ = req.WriteTo(c) // one that is refused may be closed before it has asked
+		if err := res.Read(bufio.NewReader(c)); err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		return res.StatusCode(), string(res.Header.Peek("Retry-After"))
+	}
+	dial := func() net.Conn {
+		t.Helper()
+		c, err := l.Dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	share := sockets.Standing().Owners
+	for range share[budget.Newcomers].Share {
+		dial()
+	}
+	for sockets.Standing().Owners[budget.Newcomers].Used < share[budget.Newcomers].Share {
+		runtime.Gosched()
+	}
+	if code, after := ask(dial(), "GET", "/healthz", nil); code != 503 || after == "" {
+		t.Errorf("while all newcomers have only just come: %d, Retry-After %q", code, after)
+	}
+	clock.Add(6)
+	var users []net.Conn
+	for range share[budget.Users].Share {
+		c := dial()
+		users = append(users, c)
+		if code, _ := ask(c, "GET", "/api/jobs/wk-000001", nil); code != 200 {
+			t.Fatalf("user %d: %d", len(users), code)
+		}
+	}
+	if code, after := ask(dial(), "GET", "/api/jobs/wk-000001", nil); code != 503 || after == "" {
+		t.Errorf("a user too many: %d, Retry-After %q", code, after)
+	}
+	report, err := msgp.AppendIntf(nil, map[string]any{"tiller": "n-1", "addr": "a", "breed": "eight", "field": "a", "loaners": false, "shift": 1, "tick": 1, "baton": 0, "rows": []any{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 30 {
+		if code, _ := ask(dial(), "POST", "/v1/report", report); code != 200 {
+			t.Errorf("worker %d: %d", i, code)
+		}
+	}
+	if code, _ := ask(dial(), "GET", "/healthz", nil); code != 200 {
+		t.Errorf("the probe: %d", code)
+	}
+}
+
 func TestReportsGoToWhoeverMayAct(t *testing.T) {
 	report := map[string]any{"tiller": "n-1", "addr": "a", "breed": "eight", "field": "a", "loaners": false, "shift": 1, "tick": 1, "baton": 0, "rows": []any{}}
 	valid := true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 	peers   map[string]*peer.Client
 	relays  relays
 	sockets *budget.Budget
+	memory  *budget.Memory
 	teams   map[string]*model.Team
 
 	group  *errgroup.Group
@@ -89,6 +91,9 @@
 	n.sockets = budget.New(conns, len(p.Members), func(from, to budget.Level, used, most int) {
 		log.Info("sockets", "from", from.String(), "to", to.String(), "used", used, "most", most)
 	})
+	n.memory = budget.NewMemory(uint64(p.Deployment.Limits.MemMB*(1<<20)), func(short bool, held, most uint64) {
+		log.Warn("memory", "short", short, "held_mb", held>>20, "most_mb", most>>20)
+	})
 	n.state = store.New(p.Outside.State, o.Front.StateTimeout.D(), n.sockets.Dial(budget.State))
 	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, config.Store(p), n.jobsChanged, log)
 	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout, n.sockets.Dial(budget.Cloud))
@@ -160,6 +165,7 @@
 		return peer.Serve(n.ctx, &budget.Listener{Listener: back, Budget: n.sockets, Owner: budget.Peers, Now: time.Now}, relayed{n})
 	})
 	n.group.Go(func() error { return n.tellProgress() })
+	n.group.Go(func() error { return n.weigh() })
 	n.group.Go(func() error { return n.loop() })
 	n.group.Go(func() error { return n.jobs.Run(n.ctx) })
 	n.group.Go(func() error { return n.watchLeader() })
@@ -299,6 +305,20 @@
 	n.held = holds{told: now}
 }
 
+// weigh looks after how much memory is in use.
+func (n *Node) weigh() error {
+	samples := []metrics.Sample{{Name: "/gc/heap/live:bytes"}, {Name: "/memory/classes/heap/stacks:bytes"}}
+	for n.ctx.Err() == nil {
+		metrics.Read(samples)
+		n.memory.Weigh(samples[0].Value.Uint64() + samples[1].Value.Uint64())
+		store.Wait(n.ctx, time.Second)
+	}
+	return nil
+}
+
+// Short tells that there is no memory for more jobs.
+func (n *Node) Short() bool { return n.memory.Short() }
+
 // stepDown gives the leadership up in order, so that nobody has to wait for its
 // lease.
 func (n *Node) stepDown(now time.Time) {
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -69,12 +69,22 @@
 
 // Members tells where this controller stands in the election.
 func (n *Node) Members(ctx context.Context) (*admin.Member, error) {
-	s, err := inLoop(ctx, n.urgent, func(time.Time) election.Standing { return n.elect.Standing(time.Now()) })
+	var held holds
+	s, err := inLoop(ctx, n.urgent, func(time.Time) election.Standing {
+		held = n.held
+		return n.elect.Standing(time.Now())
+	})
 	if err != nil {
 		return nil, err
 	}
 	m := &admin.Member{Member: n.plat.Member, State: s.State, Leader: s.Leader, Token: s.Token, Lease: s.Lease.Seconds(), Right: s.Right.Seconds(), Each: s.Each.Seconds(),
-		Promises: map[string]float64{}, Bound: s.Bound.Seconds(), StateDown: n.state.Down(time.Now()).Seconds()}
+		Promises: map[string]float64{}, Bound: s.Bound.Seconds(), StateDown: n.state.Down(time.Now()).Seconds(),
+		Load: admin.Load{Hold: held.most.Seconds(), By: held.what, Inbox: len(n.inbox)}}
+	sockets := n.sockets.Standing()
+	m.Sockets = admin.Sockets{Level: sockets.Level.String(), Used: sockets.Used, Peak: sockets.Peak, Most: sockets.Most, Owners: map[string]admin.Socket{}}
+	for o, a := range sockets.Owners {
+		m.Sockets.Owners[o.String()] = admin.Socket{Used: a.Used, Share: a.Share, Turned: a.Turned}
+	}
 	for o, left := range s.Promises {
 		m.Promises[o] = left.Seconds()
 	}
