--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -119,6 +119,7 @@
 	lastPass  time.Time
 	passPause time.Duration // from one pass's beginning to the next one's, at least
 	passed    bool          // the last step held a pass
+	restored  bool          // nothing of the highest rank from before the takeover waits any more
 	listAt    time.Time
 	catalogAt time.Time
 	sweepAt   time.Time
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -15,6 +15,7 @@
 		return
 	}
 	p := c.picture(now)
+	c.restoredYet(now, p.Wants)
 	if len(p.Wants) == 0 {
 		c.waits(now, nil)
 		c.consolidate(now, p)
@@ -51,6 +52,20 @@
 	c.rent(now, plan.Lacking)
 }
 
+// restoredYet says once after a takeover when nothing of the highest rank waits any more.
+func (c *Core) restoredYet(now time.Time, wants []*sched.Want) {
+	if c.restored || c.unsure > 0 {
+		return
+	}
+	for _, w := range wants {
+		if w.Urgent() && w.Job.Version <= c.rev {
+			return
+		}
+	}
+	c.restored = true
+	c.log.Info("services are placed", "token", c.token, "after", now.Sub(c.start))
+}
+
 // consolidate moves one replica off a machine that is dear, or that it has to itself.
 func (c *Core) consolidate(now time.Time, p *sched.Picture) {
 	if c.unsure > 0 || c.set.Consolidate == 0 || now.Before(c.moveAt) {
