A member without memory asks the others also between its looks

With promises on, members that start together asked each other once every 2 s whether they lead; the first to start asked before the others answered and then waited up to 3.7 s.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -213,7 +213,12 @@
 }
 
 // Wake is when the next Tick is due.
-func (m *Machine) Wake() time.Time { return m.next }
+func (m *Machine) Wake() time.Time {
+	if m.promises.to == bondBorn && m.state <= Looking && m.promises.askAt.Before(m.next) {
+		return m.promises.askAt
+	}
+	return m.next
+}
 
 // to changes the state; it is the only place that does.
 func (m *Machine) to(s State, next time.Time) {
@@ -281,18 +286,20 @@
 }
 
 func (m *Machine) tick(now time.Time) []Effect {
+	var out []Effect
+	if m.asks(now) && !now.Before(m.promises.askAt) {
+		// Also between looks. Guards against members that start together, of which the
+		// first asks before the others answer, and then not for seconds.
+		m.promises.askAt = now.Add(m.set.Retry)
+		out = append(out, AskUnbound{})
+	}
 	if now.Before(m.next) {
-		return nil
+		return out
 	}
-	var out []Effect
 	switch m.state {
 	case Following:
 		m.to(Looking, now.Add(m.set.Life))
-		out = append(out, Look{})
-		if m.promises.open(now) {
-			out = append(out, AskUnbound{})
-		}
-		return out
+		return append(out, Look{})
 	case Leading:
 		if m.set.Promise > 0 && !now.Before(m.promises.askAt) {
 			m.promises.askAt = now.Add(m.set.Promise / 4)
@@ -308,7 +315,12 @@
 	default: // an answer is overdue; every effect is answered, so only wait on
 		m.next = now.Add(m.set.Retry)
 	}
-	return nil
+	return out
+}
+
+// asks tells whether a member without memory still has to ask the others whether they lead.
+func (m *Machine) asks(now time.Time) bool {
+	return (m.state == Following || m.state == Looking) && m.promises.open(now)
 }
 
 func (m *Machine) looked(now time.Time, ev Looked) []Effect {
