--- /dev/null
+++ b/internal/control/memory_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// live is how many bytes of the heap are live.
+func live() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// What a leader's picture holds for each machine and each live task; stated in
+// docs/operators.md, and bounded here so that it does not grow unseen.
+func TestMemoryOfThePicture(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const machines, each = 2000, 50 // 100,000 live tasks
+	snap := &Snapshot{Numbered: 64}
+	for i := range machines {
+		snap.Machines = append(snap.Machines, model.Listed{Machine: fmt.Sprintf("n-%06d", i), Addr: "10.1.2.3:9000", Type: "eight", Zone: "a"})
+	}
+	snap.Jobs = []JobAdded{{Version: 1, At: now, Spec: stage("wk-000001", time.Second, model.Low)}}
+	snap.Jobs[0].Spec.Tasks = machines * each
+	before := live()
+	c := lead(now, snap)
+	empty := live()
+	for i := range machines {
+		r := &model.Report{Machine: fmt.Sprintf("n-%06d", i), Addr: "10.1.2.3:9000", Type: "eight", Zone: "a", Session: 1, Seq: 1, Token: 99}
+		for k := range each {
+			r.Tasks = append(r.Tasks, model.TaskReport{Task: model.TaskID{Job: "wk-000001", Index: i*each + k}, Try: 7, Phase: model.Running})
+		}
+		c.Step(now, ReportIn{Report: r})
+	}
+	full := live()
+	machine, task := float64(empty-before)/machines, float64(full-empty)/(machines*each)
+	t.Logf("%.0f bytes a machine, %.0f a live task, %.0f MB in all", machine, task, float64(full-before)/(1<<20))
+	if machine > 2000 || task > 600 {
+		t.Errorf("%.0f bytes a machine and %.0f a live task are more than docs/operators.md says", machine, task)
+	}
+	runtime.KeepAlive(c)
+}
