--- a/internal/fake/fleet_test.go
+++ b/internal/fake/fleet_test.go
@@ -65,3 +65,107 @@
 		}
 	}
 }
+
+// What the operators' fleets go through, on forty machines: afterwards all replicas run again, and
+// no rule was broken meanwhile.
+func TestTheFleetsHardCases(t *testing.T) {
+	crash := func(w *World, back time.Duration) {
+		for _, c := range w.Controllers {
+			c.Crash()
+		}
+		w.Pass(back)
+		for _, c := range w.Controllers {
+			c.Start()
+		}
+	}
+	outage := func(w *World, d time.Duration, during func()) {
+		w.State.SetDown(true)
+		during()
+		w.Pass(d)
+		w.State.SetDown(false)
+	}
+	cut := func(w *World, one int, cut bool) {
+		for i, n := range w.names() {
+			if i%one == 0 {
+				w.Workers[n].Cut = cut
+			}
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		within time.Duration // of the end of the trouble
+		do     func(w *World)
+	}{
+		{"all controllers crash, twice", 10 * second, func(w *World) {
+			crash(w, 3*second)
+			w.Pass(4 * second)
+			crash(w, 3*second)
+		}},
+		{"a roll during an outage", 12 * second, func(w *World) {
+			outage(w, 2*second, func() {
+				for _, c := range w.Controllers {
+					c.Crash()
+					w.Pass(3 * second)
+					c.Start()
+				}
+			})
+		}},
+		{"an outage just after all have crashed", 10 * second, func(w *World) {
+			crash(w, second)
+			outage(w, 14*second, func() {})
+		}},
+		{"half of all machines go and return in one moment", 5 * second, func(w *World) {
+			cut(w, 2, true)
+			w.Pass(9 * second)
+			cut(w, 2, false)
+		}},
+		{"half of all machines are gone for longer than their leases", 20 * second, func(w *World) {
+			cut(w, 2, true)
+			w.Pass(w.Lease + 3*second)
+			cut(w, 2, false)
+		}},
+		{"machines go, and then all controllers crash", 20 * second, func(w *World) {
+			cut(w, 4, true)
+			w.Pass(2 * second)
+			crash(w, 3*second)
+			w.Pass(10 * second)
+			cut(w, 4, false)
+		}},
+		{"members that do not reach each other", 10 * second, func(w *World) {
+			w.Apart = true
+			w.Leader().Crash()
+			w.Pass(20 * second)
+			w.Apart = false
+		}},
+		{"the leader stands still and goes on", 10 * second, func(w *World) {
+			old := w.Leader()
+			old.Up = false
+			w.Pass(20 * second)
+			old.Up = true
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := grown(t, 40, 40)
+			w.full, w.Run = true, 20*second
+			var services []*model.Spec
+			for range 10 {
+				s := job(model.Service, 6, func(s *model.Spec) { s.Rank = model.Production })
+				services = append(services, s)
+				submit(t, w, s)
+				submit(t, w, job(model.Array, 3, func(s *model.Spec) { s.Rank = model.Low }))
+			}
+			all := func() bool {
+				for _, s := range services {
+					if on(w, s) != s.Tasks {
+						return false
+					}
+				}
+				return true
+			}
+			until(t, w, 30*second, "all replicas run", all)
+			c.do(w)
+			until(t, w, c.within, "somebody leads and all replicas run", func() bool { return w.Leader() != nil && all() })
+			w.Pass(5 * second)
+		})
+	}
+}
