--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -551,7 +551,7 @@
 			}
 		case model.Ready, model.Unsettled, model.Draining:
 			switch {
-			case m.Unsure && c.mute(m) && c.fewUnsure():
+			case m.Unsure && m.Mute && c.fewUnsure():
 				giveBack(m, "silent")
 			case now.Sub(m.LastReport) > c.set.SilentAfter && now.After(c.resumeAt) && !quiet[m.Zone] && !quiet[anyZone]:
 				giveBack(m, "silent")
@@ -610,15 +610,14 @@
 
 // ask asks the machines that have not reported to a new leader whether they are
 // there, once most have. Guards against a few dead machines, or a single one, that
-// keep all work from before the takeover waiting until their silence is long enough; and
-// against waiting for the last of a thousand machines, whose report is the latest by chance.
+// keep all work from before the takeover waiting until their silence is long enough.
 func (c *Core) ask(now time.Time) {
-	if c.unsure == 0 || c.unsure > max(1, len(c.machines)/askShare) {
+	if c.unsure == 0 || now.Sub(c.start) < c.set.Report*askAfter || !c.fewUnsure() {
 		return
 	}
 	asked := 0
 	for _, m := range c.machines {
-		if m.Unsure && !c.mute(m) && !m.Direct && m.Addr != "" && m.State < model.Returning && now.Sub(m.Asked) > askEvery && asked < maxAsked {
+		if m.Unsure && !m.Mute && !m.Direct && m.Addr != "" && m.State < model.Returning && now.Sub(m.Asked) > askEvery && asked < maxAsked {
 			m.Asked, m.Direct = now, true
 			asked++
 			c.emit(Command{Machine: m.Name, Addr: m.Addr, Session: m.Session})
@@ -626,17 +625,10 @@
 	}
 }
 
-// mute tells that a machine did not answer when it was asked, after a time in which it
-// should have reported. One that was asked sooner may only have been busy, and is asked again.
-func (c *Core) mute(m *model.Machine) bool {
-	return m.Mute && m.Asked.Sub(c.start) >= c.set.Report*askAfter
-}
-
 const (
 	askAfter = 1                      // report intervals after the takeover
 	askEvery = 500 * time.Millisecond // between questions to one machine
-	maxAsked = 32                     // at a time
-	askShare = 4                      // machines are asked once no more than one in so many is unsure
+	maxAsked = 8                      // at a time
 	fewShare = 10                     // the unsure are few up to a tenth of all machines
 )
 
