--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,8 +88,14 @@
 	if conns == 0 {
 		conns = 1000
 	}
+	var told time.Time // the budget's lock is held where this is used
 	n.sockets = budget.New(conns, len(p.Members), func(from, to budget.Level, used, most int) {
-		log.Info("sockets", "from", from.String(), "to", to.String(), "used", used, "most", most)
+		level := slog.LevelDebug
+		if now := time.Now(); now.Sub(told) > holdEvery {
+			// Guards against a flood where workers come and go round a level's edge.
+			told, level = now, slog.LevelInfo
+		}
+		log.Log(context.Background(), level, "sockets", "from", from.String(), "to", to.String(), "used", used, "most", most)
 	})
 	n.memory = budget.NewMemory(uint64(p.Deployment.Limits.MemMB*(1<<20)), func(short bool, held, most uint64) {
 		log.Warn("memory", "short", short, "held_mb", held>>20, "most_mb", most>>20)
