What is taken off first for the state service and the members is nobody else's

Read once more: workers and users together could hold every socket, since only their own shares and the whole were looked at; a burst would have left none to renew the right to act with. They are held to what is left now, levels count that, and the operators' listener has its owner.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -32,12 +32,16 @@
 	return [...]string{"newcomers", "users", "reports", "health", "direct", "peers", "state", "cloud", "operators"}[o]
 }
 
+// fixed tells that an owner's share is taken off first. Nobody else may hold any of it: guards
+// against a burst of workers and users that leaves no socket to renew the right to act with.
+func (o Owner) fixed() bool { return o >= Peers }
+
 // Level is how full the process is.
 type Level uint8
 
 // The levels. What each means for callers stands at the functions that ask.
 const (
-	Roomy Level = iota // below tightFrom of all sockets that may be held
+	Roomy Level = iota // below tightFrom of what users, workers and direct commands may hold
 	Tight              // users are not kept connected between requests
 	Full               // from fullFrom on; workers are not kept connected either, and new users are sent away
 )
@@ -73,6 +77,8 @@
 	used   [owners]int
 	turned [owners]uint64 // away
 	total  int
+	open   int // of the total, what is held by owners without a share taken off first
+	rest   int // and how many these may hold together
 	peak   int
 	level  Level
 	moved  func(from, to Level, used, most int)
@@ -104,6 +110,7 @@
 		rest -= b.shares[o]
 	}
 	rest = max(rest, b.most/2)
+	b.rest = rest
 	part := func(p float64) int { return max(int(p*float64(rest)), 4) }
 	b.shares[Users], b.shares[Direct], b.shares[Newcomers] = part(usersPart), part(directPart), part(newcomersPart)
 	b.shares[Reports], b.shares[Health] = rest, rest // they always get in while there is a socket at all
@@ -116,7 +123,7 @@
 func (b *Budget) Enter(now time.Time, o Owner, close func()) (*Holder, error) {
 	b.mu.Lock()
 	var evict func()
-	if b.total >= b.most || b.used[o] >= b.shares[o] {
+	if !o.fixed() && b.open >= b.rest || b.used[o] >= b.shares[o] {
 		if evict = b.evict(now, o); evict == nil {
 			b.turned[o]++
 			b.mu.Unlock()
@@ -171,7 +178,7 @@
 		b.turned[o]++
 		return false
 	}
-	b.rest(h)
+	b.wake(h)
 	b.used[h.owner]--
 	h.owner = o
 	b.used[o]++
@@ -182,7 +189,7 @@
 func (h *Holder) Busy() {
 	h.b.mu.Lock()
 	defer h.b.mu.Unlock()
-	h.b.rest(h)
+	h.b.wake(h)
 }
 
 // Idle says that the socket waits for the next request.
@@ -190,7 +197,7 @@
 	b := h.b
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.rest(h); !h.left {
+	if b.wake(h); !h.left {
 		h.since = now
 		h.at = b.idle[h.owner].PushBack(h)
 	}
@@ -223,13 +230,13 @@
 	if h.left {
 		return
 	}
-	b.rest(h)
+	b.wake(h)
 	h.left = true
 	b.count(h.owner, -1)
 }
 
-// rest takes a socket out of the idle ones.
-func (b *Budget) rest(h *Holder) {
+// wake takes a socket out of the idle ones.
+func (b *Budget) wake(h *Holder) {
 	if h.at != nil {
 		b.idle[h.owner].Remove(h.at)
 		h.at = nil
@@ -241,7 +248,10 @@
 	b.used[o] += n
 	b.total += n
 	b.peak = max(b.peak, b.total)
-	at := float64(b.total) / float64(b.most)
+	if !o.fixed() {
+		b.open += n
+	}
+	at := float64(b.open) / float64(b.rest)
 	to := b.level
 	switch {
 	case at >= fullFrom:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,7 +196,7 @@
 	s := admin.New(config.AdminServer(n.plat, n.oper), n.state, n, n.log)
 	n.log.Info("operators' interface", "listen", l.Addr().String())
 	n.group.Go(func() error {
-		if err := s.Serve(l); err != nil {
+		if err := s.Serve(&budget.Listener{Listener: l, Budget: n.sockets, Owner: budget.Operators, Now: time.Now}); err != nil {
 			return err
 		}
 		return n.ctx.Err()
