Users' requests go round members that cannot take them

internal/route decides, request by request: here, at another member, or both; breakers by way, a retry budget for the process, hedged polls, limits that follow measured latency (Gradient2), cancellations ahead. Members hand requests over on connections of their own, so that a late one costs no promise; what is handed over is never handed on. A member at its last users' socket hands over too. A request that never ends holds a newcomer's socket for 15 s instead of 90. Waiting for an answer ends with its connection.

--- a/cmd/glentiller/member.go
+++ b/cmd/glentiller/member.go
@@ -57,5 +57,17 @@
 	if m.Load.By != "" {
 		fmt.Printf("the loop was held for %.3f s at the most by %s lately; %d messages wait\n", m.Load.Hold, m.Load.By, m.Load.Inbox)
 	}
+	if r := m.Requests; r != nil {
+		fmt.Printf("requests: the way by its own means is %s; %.0f second attempts left\n", r.Here, r.Retries)
+		for _, o := range slices.Sorted(maps.Keys(r.Members)) {
+			fmt.Printf("  by %s: %s\n", o, r.Members[o])
+		}
+		for _, k := range slices.Sorted(maps.Keys(r.Limits)) {
+			fmt.Printf("  %-7s %d of %d at once, asked elsewhere too after %d ms\n", k, r.Inside[k], r.Limits[k], r.Hedge[k])
+		}
+		n := r.Counts
+		fmt.Printf("  %d begun here, %d handed over (%d hedged, %d again), %d taken for others; %d users sent away, %d at the limit, %d without a second attempt\n",
+			n.Here, n.Handed, n.Hedged, n.Again, n.ForThem, n.Refused, n.Shed, n.Spent)
+	}
 	return nil
 }
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/route"
 )
 
 // The paths.
@@ -114,6 +115,7 @@
 	StateDown float64            `json:"state_unanswered_s"` // since when the state service has not answered it
 	Sockets   Sockets            `json:"sockets"`
 	Load      Load               `json:"load"`
+	Requests  *route.Standing    `json:"requests,omitempty"` // how users' requests go round; left out: where they come
 }
 
 // Sockets is how a controller's sockets are held.
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -104,7 +104,7 @@
 		b.idle[o] = list.New()
 	}
 	b.shares[State], b.shares[Cloud], b.shares[Operators] = stateSockets, cloudSockets, adminSockets
-	b.shares[Peers] = 6*members + 4 // one each way, and those of members that went without a word
+	b.shares[Peers] = 8*members + 4 // two each way, and those of members that went without a word
 	rest := b.most
 	for _, o := range []Owner{State, Cloud, Operators, Peers} {
 		rest -= b.shares[o]
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -10,6 +10,7 @@
 	"github.com/glentiller/glentiller/internal/election"
 	"github.com/glentiller/glentiller/internal/fleet"
 	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/sched"
 	"github.com/glentiller/glentiller/internal/store"
 )
@@ -126,6 +127,19 @@
 	return s
 }
 
+// Routing puts together what users' requests are routed by; nil: they are answered where they
+// come.
+func Routing(p *Platform, o *Operator) *route.Settings {
+	if o.Requests == nil {
+		return nil
+	}
+	s := &route.Settings{Retries: o.Requests.Retries, Hedge: o.Requests.Hedge.D(), Most: o.Requests.Most}
+	for _, m := range p.Members {
+		s.Others = append(s.Others, m.Member)
+	}
+	return s
+}
+
 // promiseSlack is for messages under way, margins and drift.
 const promiseSlack = 3 * time.Second
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -61,6 +61,7 @@
 	FairShare   *FairShare   `xml:"fair-share"`
 	Constraints *Constraints `xml:"constraints"`
 	Promises    *Promises    `xml:"promises"`
+	Requests    *Requests    `xml:"requests"`
 	strict
 }
 
@@ -98,6 +99,15 @@
 // outlives outages of the state service. There is nothing to set.
 type Promises struct{ strict }
 
+// Requests has users' requests go round what fails: to a member that can take them, within
+// limits that adapt.
+type Requests struct {
+	Retries float64  `xml:"retries"`
+	Hedge   Duration `xml:"hedge"`
+	Most    int      `xml:"most"`
+	strict
+}
+
 // Weight is a team's part, beside those of the others.
 type Weight struct {
 	Team  string  `xml:"team,attr"`
@@ -122,6 +132,15 @@
 	return err
 }
 
+// UnmarshalXML starts from the defaults: the element alone turns the part on.
+func (r *Requests) UnmarshalXML(d *xml.Decoder, start xml.StartElement) error {
+	type plain Requests
+	p := plain{Retries: 0.2, Hedge: Duration(150 * time.Millisecond), Most: 256}
+	err := d.DecodeElement(&p, &start)
+	*r = Requests(p)
+	return err
+}
+
 // UnmarshalXML starts from the defaults: the element alone turns the part on.
 func (f *FairShare) UnmarshalXML(d *xml.Decoder, start xml.StartElement) error {
 	type plain FairShare
@@ -286,6 +305,10 @@
 	if c := o.Promises; c != nil {
 		part("promises", &c.strict)
 	}
+	if r := o.Requests; r != nil {
+		part("requests", &r.strict, among("requests/retries", r.Retries, 0, 1), between("requests/hedge", r.Hedge, 0, 2*time.Second),
+			among("requests/most", float64(r.Most), 8, 10_000))
+	}
 	if f := o.FairShare; f != nil {
 		part("fair-share", &f.strict, between("fair-share/half-life", f.HalfLife, time.Minute, 366*day))
 		if o.Ledger == nil {
@@ -317,6 +340,13 @@
 	return nil
 }
 
+func among(name string, v, least, most float64) error {
+	if !(v >= least && v <= most) {
+		return fmt.Errorf("%s: %v is not between %v and %v", name, v, least, most)
+	}
+	return nil
+}
+
 // ReadSecret reads a token or a key from a file: one line.
 func ReadSecret(path string) ([]byte, error) {
 	b, err := os.ReadFile(path)
@@ -334,15 +364,14 @@
 
 func (o *Operator) check() error {
 	var errs []error
-	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
 	span := func(name string, v Duration, least, most time.Duration) {
 		if err := between(name, v, least, most); err != nil {
 			errs = append(errs, err)
 		}
 	}
 	number := func(name string, v, least, most float64) {
-		if !(v >= least && v <= most) {
-			bad("%s: %v is not between %v and %v", name, v, least, most)
+		if err := among(name, v, least, most); err != nil {
+			errs = append(errs, err)
 		}
 	}
 	span("leadership/lease", o.Leadership.Lease, time.Second, 10*time.Minute)
--- /dev/null
+++ b/internal/front/away_test.go
@@ -0,0 +1,170 @@
+package front
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/glentiller/glentiller/internal/budget"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/route"
+	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+func router(hedge time.Duration) *route.Router {
+	return route.New(route.Settings{Others: []string{"b"}, Retries: 0.2, Hedge: hedge, Most: 64}, rand.New(rand.NewPCG(1, 2)), nil)
+}
+
+// pair has two fronts, with records of their own, of which the first hands over to the second.
+func pair(t *testing.T, a, b *records, back *backend, hedge time.Duration) func(method, path string, body any) (int, map[string]any, string) {
+	t.Helper()
+	other := New(Settings{RetryAfter: time.Second, Conns: 10, Router: router(hedge)}, b, &backend{types: eight}, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	back.hand = func(ctx context.Context, member string, q route.Request) route.Answer {
+		return other.Visit(ctx, q, time.Second)
+	}
+	return serveWith(t, Settings{RetryAfter: time.Second, Conns: 10, Router: router(hedge)}, a, back)
+}
+
+func TestWhatThisMemberCannotTakeAnotherOneDoes(t *testing.T) {
+	b := &records{known: map[string]store.JobView{"wk-000005": {State: wire.StateQueued, Tasks: 1}, "wk-000009": {State: wire.StateDone, Tasks: 7}}}
+	do := pair(t, &records{known: map[string]store.JobView{}, down: true}, b, &backend{types: eight}, 0)
+	bad := submission("wk-000003")
+	bad["owner"] = "nobody"
+	for _, c := range []struct {
+		name, method, path string
+		body               any
+		want               int
+		status             string
+	}{
+		{"new job", "POST", "/api/jobs", submission("wk-000001"), 201, "queued"},
+		{"again", "POST", "/api/jobs", submission("wk-000001"), 200, "running"},
+		{"can never run", "POST", "/api/jobs", bad, 422, ""},
+		{"malformed", "POST", "/api/jobs", []byte("hello"), 400, ""},
+		{"poll", "GET", "/api/jobs/wk-000009", nil, 200, "done"},
+		{"poll, unheard of", "GET", "/api/jobs/wk-777777", nil, 404, ""},
+		{"cancel", "POST", "/api/jobs/wk-000005/withdraw", nil, 200, "withdrawn"},
+		{"cancel what is done", "POST", "/api/jobs/wk-000009/withdraw", nil, 200, "done"},
+	} {
+		code, body, after := do(c.method, c.path, c.body)
+		if code != c.want || c.status != "" && body["status"] != c.status || after != "" {
+			t.Errorf("%s: got %d %v, Retry-After %q, want %d %s", c.name, code, body, after, c.want, c.status)
+		}
+	}
+	if b.known["wk-000001"].Spec == nil {
+		t.Error("the job is on nobody's record")
+	}
+	b.down = true
+	for range 8 {
+		code, _, after := do("POST", "/api/jobs", submission("wk-000002"))
+		if code != 503 || after == "" {
+			t.Errorf("with everybody cut off: %d, Retry-After %q", code, after)
+		}
+	}
+}
+
+// A request that was handed over is not handed on: two members that are both cut off would
+// pass it to and fro.
+func TestAHandedRequestStays(t *testing.T) {
+	var handed atomic.Int32
+	b := &backend{types: eight, hand: func(context.Context, string, route.Request) route.Answer {
+		handed.Add(1)
+		return route.Answer{Cause: route.Silent}
+	}}
+	s := New(Settings{RetryAfter: time.Second, Conns: 10, Router: router(0)}, &records{known: map[string]store.JobView{}, down: true}, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for range 5 {
+		if a := s.Visit(t.Context(), route.Request{Kind: route.Poll, ID: "wk-000001"}, time.Second); a.Cause != route.Down {
+			t.Errorf("got %+v", a)
+		}
+	}
+	if n := handed.Load(); n != 0 {
+		t.Errorf("handed on %d times", n)
+	}
+}
+
+// slowRecords know of ends, and otherwise do not answer in time.
+type slowRecords struct {
+	records
+	ended atomic.Bool
+}
+
+func (r *slowRecords) Peek(string) store.JobView {
+	if r.ended.Load() {
+		return store.JobView{State: wire.StateDone, Tasks: 3}
+	}
+	return store.JobView{}
+}
+
+func (r *slowRecords) Lookup(ctx context.Context, id string) (store.JobView, error) {
+	if v := r.Peek(id); v.State.Ended() {
+		return v, nil
+	}
+	<-ctx.Done()
+	return store.JobView{}, ctx.Err()
+}
+
+// While another member read the job as unfinished, its end has become known here, and others may
+// have been told: the older answer must not go out.
+func TestAnEndThatIsKnownHereGoesBeforeAnOlderAnswer(t *testing.T) {
+	views := &slowRecords{}
+	b := &backend{types: eight}
+	s := New(Settings{RetryAfter: time.Second, Conns: 10, Router: router(time.Millisecond)}, views, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	b.hand = func(context.Context, string, route.Request) route.Answer {
+		views.ended.Store(true)
+		return route.Answer{Status: 200, Body: wire.AppendStatus(nil, "wk-000001", wire.StateRunning, 1, 1)}
+	}
+	a := s.away(route.Request{Kind: route.Poll, ID: "wk-000001"}, false)
+	if want := string(wire.AppendStatus(nil, "wk-000001", wire.StateDone, 3, 0)); a.Status != 200 || string(a.Body) != want {
+		t.Errorf("got %d %q", a.Status, a.Body)
+	}
+}
+
+// A mistake of ours in an attempt costs that answer, not the process.
+func TestAnAttemptThatPanicsIsAnswered(t *testing.T) {
+	b := &backend{types: []model.MachineType{{}}, hand: func(context.Context, string, route.Request) route.Answer { panic("a mistake") }}
+	do := serveWith(t, Settings{RetryAfter: time.Second, Conns: 10, Router: router(0)}, &records{known: map[string]store.JobView{}, down: true}, b)
+	if code, _, after := do("GET", "/api/jobs/wk-000001", nil); code != 503 || after == "" {
+		t.Errorf("got %d, Retry-After %q", code, after)
+	}
+}
+
+// At its last users' socket a member takes requests on a newcomer's and has another member answer
+// them; what asks for nothing of the sort is told when to come back.
+func TestAMemberWithoutSocketsForUsersHandsOver(t *testing.T) {
+	sockets := budget.New(200, 1, nil)
+	b := &backend{types: eight, hand: func(_ context.Context, _ string, q route.Request) route.Answer {
+		return route.Answer{Status: 201, Body: wire.AppendShortStatus(nil, q.ID, wire.StateQueued)}
+	}}
+	s := New(Settings{RetryAfter: time.Second, Conns: 200, Sockets: sockets, Router: router(0)}, &records{known: map[string]store.JobView{}}, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for range sockets.Standing().Owners[budget.Users].Share {
+		h, err := sockets.Enter(time.Now(), budget.Newcomers, nil)
+		if err != nil || !h.Become(budget.Users) {
+			t.Fatal("no socket for a user")
+		}
+	}
+	l := fasthttputil.NewInmemoryListener()
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	c := &fasthttp.HostClient{Addr: "front", Dial: func(string) (net.Conn, error) { return l.Dial() }}
+	var req fasthttp.Request
+	var res fasthttp.Response
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://front/api/jobs")
+	body, err := msgp.AppendIntf(nil, submission("wk-000001"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.SetBody(body)
+	if err := c.Do(&req, &res); err != nil || res.StatusCode() != 201 || !res.ConnectionClose() {
+		t.Errorf("a submission: %d, %v, kept open: %v", res.StatusCode(), err, !res.ConnectionClose())
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/glentiller/glentiller/internal/budget"
 	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/wire"
 )
@@ -53,6 +54,10 @@
 	Team(name string) *model.Team
 	// Short tells that there is no memory for more jobs.
 	Short() bool
+	// Hand hands a user's request to another member, and says what became of it.
+	Hand(ctx context.Context, member string, q route.Request) route.Answer
+	// Reached is when the state service has last answered anything.
+	Reached() time.Time
 	// Healthy tells whether this controller can take requests.
 	Healthy() bool
 }
@@ -63,6 +68,7 @@
 	Conns      int            // the most that the platform allows
 	Sockets    *budget.Budget // who may hold them
 	Rules      bool           // submissions may carry rules
+	Router     *route.Router  // decides where requests are answered; nil: here
 }
 
 // Server answers requests.
@@ -90,7 +96,7 @@
 		WriteBufferSize:               2048,
 		Concurrency:                   set.Conns,
 		IdleTimeout:                   90 * time.Second,
-		ReadTimeout:                   90 * time.Second,
+		ReadTimeout:                   requestTime,
 		WriteTimeout:                  5 * time.Second,
 		ReduceMemoryUsage:             true,
 		CloseOnShutdown:               true,
@@ -100,6 +106,11 @@
 	return s
 }
 
+// requestTime bounds how long a request may take to come in. Guards against connections that say
+// something and never finish: as long as they are read from they count as busy, and hold the
+// sockets of newcomers.
+const requestTime = 15 * time.Second
+
 // quiet drops the HTTP library's own log: broken connections are everyday.
 type quiet struct{}
 
@@ -145,7 +156,9 @@
 		}
 	}()
 	path := string(c.URI().PathOriginal())
-	if !s.welcome(c, path) {
+	socket := s.welcome(c, path)
+	if !socket && (s.set.Router == nil || ownerOf(path) != budget.Users) {
+		s.unavailable(c, "no connection is free")
 		return
 	}
 	switch {
@@ -162,19 +175,25 @@
 			}
 		}
 	case path == jobsPath:
-		if s.method(c, fasthttp.MethodPost) {
-			s.submit(c)
+		if !s.method(c, fasthttp.MethodPost) {
+			return
 		}
+		id, why := malformedBody(c.PostBody())
+		if why != "" {
+			s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, why))
+			return
+		}
+		s.job(c, route.Request{Kind: route.Submit, ID: id, Body: c.PostBody()}, socket)
 	case strings.HasPrefix(path, jobsPath+"/"):
 		id := path[len(jobsPath)+1:]
 		if rest, ok := strings.CutSuffix(id, "/withdraw"); ok {
 			if s.method(c, fasthttp.MethodPost) {
-				s.withdraw(c, rest)
+				s.job(c, route.Request{Kind: route.Cancel, ID: rest}, socket)
 			}
 			return
 		}
 		if s.method(c, fasthttp.MethodGet) {
-			s.poll(c, id)
+			s.job(c, route.Request{Kind: route.Poll, ID: id}, socket)
 		}
 	default:
 		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such path"))
@@ -202,102 +221,145 @@
 	s.reply(c, fasthttp.StatusServiceUnavailable, wire.AppendError(nil, why))
 }
 
-// submit takes a job. A known id is answered before anything is validated; an
-// answer that the job was accepted is given only after its record is durable.
-func (s *Server) submit(c *fasthttp.RequestCtx) {
-	body := c.PostBody()
+// job answers a user's request about a job.
+func (s *Server) job(c *fasthttp.RequestCtx, q route.Request, socket bool) {
+	a := s.away(q, !socket)
+	if a.After > 0 || a.Status == fasthttp.StatusServiceUnavailable {
+		s.comeBack(c, max(a.After, s.set.RetryAfter))
+	}
+	s.reply(c, a.Status, a.Body)
+}
+
+// here answers a user's request by this controller's own means.
+func (s *Server) here(ctx context.Context, q route.Request) route.Answer {
+	switch q.Kind {
+	case route.Submit:
+		return s.submit(ctx, q)
+	case route.Poll:
+		return s.about(ctx, q.ID, s.jobs.Lookup, func(v store.JobView) []byte {
+			st, done, running := s.state(q.ID, v)
+			return wire.AppendStatus(nil, q.ID, st, done, running)
+		})
+	default:
+		cancel := func(ctx context.Context, id string) (store.JobView, error) { return s.jobs.Cancel(ctx, id, s.now()) }
+		return s.about(ctx, q.ID, cancel, func(v store.JobView) []byte { return wire.AppendShortStatus(nil, q.ID, v.State) })
+	}
+}
+
+// final is an answer that holds whoever gives it.
+func final(status int, body []byte) route.Answer { return route.Answer{Status: status, Body: body} }
+
+// refused is the final answer to what can never be taken.
+func refused(status int, why string) route.Answer { return final(status, wire.AppendError(nil, why)) }
+
+// not is the answer that a request is not taken now.
+func not(c route.Cause, why string) route.Answer {
+	return route.Answer{Cause: c, Status: fasthttp.StatusServiceUnavailable, Body: wire.AppendError(nil, why)}
+}
+
+const unanswered = "the state service does not answer"
+
+// failed is the answer where the state service could not be asked.
+func failed(err error) route.Answer {
+	if errors.Is(err, store.ErrBusy) {
+		return not(route.Busy, unanswered)
+	}
+	return not(route.Down, unanswered)
+}
+
+// malformedBody tells what is wrong with a body before anything is known of the job.
+func malformedBody(body []byte) (id, why string) {
 	if len(body) > wire.MaxBody {
-		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, "the body is too large"))
-		return
+		return "", "the body is too large"
 	}
 	if err := wire.Valid(body); err != nil {
-		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, err.Error()))
-		return
+		return "", err.Error()
 	}
 	id, err := wire.PeekRef(body)
 	if err != nil {
-		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, err.Error()))
-		return
+		return "", err.Error()
 	}
+	return id, ""
+}
+
+// submit takes a job. A known id is answered before anything is validated; an
+// answer that the job was accepted is given only after its record is durable.
+func (s *Server) submit(ctx context.Context, q route.Request) route.Answer {
+	id := q.ID
 	if v := s.jobs.Peek(id); v.State.Ended() {
-		s.reply(c, fasthttp.StatusOK, wire.AppendShortStatus(nil, id, v.State))
-		return
+		return final(fasthttp.StatusOK, wire.AppendShortStatus(nil, id, v.State))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), userWait)
-	defer cancel()
-	spec, err := wire.DecodeJob(body)
-	why := ""
+	spec, err := wire.DecodeJob(q.Body)
+	var stop *route.Answer
 	doomed := false
-	status := fasthttp.StatusUnprocessableEntity
 	if err != nil {
-		status, why = fasthttp.StatusBadRequest, err.Error()
+		stop = answer(refused(fasthttp.StatusBadRequest, err.Error()))
 	} else if types := s.back.Types(); len(types) == 0 {
-		status, why = fasthttp.StatusServiceUnavailable, "the machine types are not known yet"
+		stop = answer(not(route.Unready, "the machine types are not known yet"))
 	} else if ok, w := model.CanEverRun(spec, s.back.Team(spec.Team), types); !ok {
-		why = w
+		stop = answer(refused(fasthttp.StatusUnprocessableEntity, w))
 	} else if s.jobs.Peek(id).State == wire.StateUnknown {
-		if status, why = s.rules(ctx, spec, types); why == "" {
-			doomed, status, why = s.resolve(ctx, spec)
+		if stop = s.rules(ctx, spec, types); stop == nil {
+			doomed, stop = s.resolve(ctx, spec)
 		}
 	}
-	if why != "" || s.jobs.Peek(id).State != wire.StateUnknown {
+	if stop != nil || s.jobs.Peek(id).State != wire.StateUnknown {
 		// Never to be accepted, or known already: the present state decides.
 		v, err := s.jobs.Lookup(ctx, id)
 		switch {
 		case err != nil:
-			s.unavailable(c, "the state service does not answer")
+			return failed(err)
 		case v.State != wire.StateUnknown:
-			s.known(c, id, v)
-		case status == fasthttp.StatusServiceUnavailable:
-			s.unavailable(c, why)
-		case why == "":
-			s.unavailable(c, "try again")
+			return s.known(id, v)
+		case stop != nil:
+			return *stop
 		default:
-			s.reply(c, status, wire.AppendError(nil, why))
+			return not(route.Unready, "try again")
 		}
-		return
 	}
 	if s.back.Short() {
-		s.comeBack(c, shortOfMemory)
-		s.reply(c, fasthttp.StatusTooManyRequests, wire.AppendError(nil, "no memory for more jobs: try again"))
-		return
+		a := refused(fasthttp.StatusTooManyRequests, "no memory for more jobs: try again")
+		a.Cause, a.After = route.Short, shortOfMemory
+		return a
 	}
 	created, v, err := s.jobs.Accept(ctx, spec, doomed, s.now())
 	switch {
 	case errors.Is(err, store.ErrRejected):
 		// Guards against a submission that is retried into a wall.
 		s.log.Error("submission not taken by the state service", "id", id, "err", err)
-		s.reply(c, fasthttp.StatusUnprocessableEntity, wire.AppendError(nil, store.ErrTooLarge.Error()))
+		return refused(fasthttp.StatusUnprocessableEntity, store.ErrTooLarge.Error())
 	case err != nil:
 		s.log.Debug("submission not accepted", "id", id, "err", err)
-		s.unavailable(c, "the state service does not answer")
+		return failed(err)
 	case created:
-		s.reply(c, fasthttp.StatusCreated, wire.AppendShortStatus(nil, id, wire.StateQueued))
+		return final(fasthttp.StatusCreated, wire.AppendShortStatus(nil, id, wire.StateQueued))
 	default:
-		s.known(c, id, v)
+		return s.known(id, v)
 	}
 }
 
+func answer(a route.Answer) *route.Answer { return &a }
+
 // resolve finds out how the jobs stand that a submission awaits, and whether the
 // submission can be kept at all. Where it can't be taken it says why.
-func (s *Server) resolve(ctx context.Context, spec *model.Spec) (doomed bool, status int, why string) {
+func (s *Server) resolve(ctx context.Context, spec *model.Spec) (doomed bool, stop *route.Answer) {
 	doomed, err := s.jobs.Resolve(ctx, spec)
 	switch {
 	case errors.Is(err, store.ErrNeverAccepted), errors.Is(err, store.ErrAwaitsService):
-		return false, fasthttp.StatusUnprocessableEntity, err.Error()
+		return false, answer(refused(fasthttp.StatusUnprocessableEntity, err.Error()))
 	case err != nil:
-		return false, fasthttp.StatusServiceUnavailable, "the state service does not answer"
+		return false, answer(failed(err))
 	}
 	if err := s.jobs.Fits(spec); err != nil {
-		return false, fasthttp.StatusUnprocessableEntity, err.Error()
+		return false, answer(refused(fasthttp.StatusUnprocessableEntity, err.Error()))
 	}
-	return doomed, 0, ""
+	return doomed, nil
 }
 
 // known answers a repeated submission with the job's state.
-func (s *Server) known(c *fasthttp.RequestCtx, id string, v store.JobView) {
+func (s *Server) known(id string, v store.JobView) route.Answer {
 	st, _, _ := s.state(id, v)
-	s.reply(c, fasthttp.StatusOK, wire.AppendShortStatus(nil, id, st))
+	return final(fasthttp.StatusOK, wire.AppendShortStatus(nil, id, st))
 }
 
 // state adds the progress to an unfinished job's state.
@@ -314,37 +376,21 @@
 	return v.State, done, 0
 }
 
-// about answers a request about one job: ask finds its state out, answer writes
+// about answers a request about one job: ask finds its state out, text writes
 // the body for a job that is known.
-func (s *Server) about(c *fasthttp.RequestCtx, id string, wait time.Duration, ask func(context.Context, string) (store.JobView, error),
-	answer func(v store.JobView) []byte) {
+func (s *Server) about(ctx context.Context, id string, ask func(context.Context, string) (store.JobView, error),
+	text func(v store.JobView) []byte) route.Answer {
 	var v store.JobView
 	if model.JobIDValid(id) {
-		ctx, cancel := context.WithTimeout(context.Background(), wait)
-		defer cancel()
 		var err error
 		if v, err = ask(ctx, id); err != nil {
-			s.unavailable(c, "the state service does not answer")
-			return
+			return failed(err)
 		}
 	}
 	if v.State == wire.StateUnknown {
-		s.reply(c, fasthttp.StatusNotFound, wire.AppendError(nil, "no such job"))
-		return
+		return refused(fasthttp.StatusNotFound, "no such job")
 	}
-	s.reply(c, fasthttp.StatusOK, answer(v))
-}
-
-func (s *Server) poll(c *fasthttp.RequestCtx, id string) {
-	s.about(c, id, pollWait, s.jobs.Lookup, func(v store.JobView) []byte {
-		st, done, running := s.state(id, v)
-		return wire.AppendStatus(nil, id, st, done, running)
-	})
-}
-
-func (s *Server) withdraw(c *fasthttp.RequestCtx, id string) {
-	cancel := func(ctx context.Context, id string) (store.JobView, error) { return s.jobs.Cancel(ctx, id, s.now()) }
-	s.about(c, id, userWait, cancel, func(v store.JobView) []byte { return wire.AppendShortStatus(nil, id, v.State) })
+	return final(fasthttp.StatusOK, text(v))
 }
 
 // reportWait bounds how long a report may wait for its answer: its worker drops
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -24,6 +24,7 @@
 
 	"github.com/glentiller/glentiller/internal/budget"
 	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/wire"
 )
@@ -89,6 +90,7 @@
 	verdict Verdict
 	relayed []byte
 	short   bool
+	hand    func(ctx context.Context, member string, q route.Request) route.Answer // what becomes of a request at another member
 }
 
 func (b *backend) Report(context.Context, *model.Report) Verdict { return b.verdict }
@@ -103,8 +105,12 @@
 	}
 	return &model.Team{Name: name, Limit: model.Resources{CPU: 64}}
 }
-func (b *backend) Healthy() bool { return true }
-func (b *backend) Short() bool   { return b.short }
+func (b *backend) Healthy() bool      { return true }
+func (b *backend) Reached() time.Time { return time.Time{} }
+func (b *backend) Hand(ctx context.Context, member string, q route.Request) route.Answer {
+	return b.hand(ctx, member, q)
+}
+func (b *backend) Short() bool { return b.short }
 
 // serve runs a front in memory and returns what sends requests to it.
 func serve(t *testing.T, r *records, b *backend) func(method, path string, body any) (int, map[string]any, string) {
--- a/internal/front/rules.go
+++ b/internal/front/rules.go
@@ -7,39 +7,40 @@
 
 	"github.com/glentiller/glentiller/internal/constraint"
 	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
 // rules checks the rules of a submission: whether they can be read, whether the jobs that
 // they name were ever accepted, and whether anything could ever run it. Where it can't be
 // taken it says why.
-func (s *Server) rules(ctx context.Context, spec *model.Spec, types []model.MachineType) (status int, why string) {
+func (s *Server) rules(ctx context.Context, spec *model.Spec, types []model.MachineType) *route.Answer {
 	if !s.set.Rules {
 		spec.Rules = "" // an unknown field, as far as this deployment is concerned
 	}
 	switch spec.Rules {
 	case "":
-		return 0, ""
+		return nil
 	case wire.NoRules:
-		return fasthttp.StatusBadRequest, "rules: not a text"
+		return answer(refused(fasthttp.StatusBadRequest, "rules: not a text"))
 	}
 	set, err := constraint.Parse(spec.Rules)
 	if err != nil {
-		return fasthttp.StatusBadRequest, err.Error()
+		return answer(refused(fasthttp.StatusBadRequest, err.Error()))
 	}
 	zones := map[string][]string{}
 	for _, k := range set.Kin {
 		if k.Job == spec.ID {
-			return fasthttp.StatusUnprocessableEntity, "rules: " + k.Clause.String() + " names the job itself"
+			return answer(refused(fasthttp.StatusUnprocessableEntity, "rules: "+k.Clause.String()+" names the job itself"))
 		}
 		v := s.jobs.Peek(k.Job)
 		if v.State == wire.StateUnknown {
 			if v, err = s.jobs.Lookup(ctx, k.Job); err != nil {
-				return fasthttp.StatusServiceUnavailable, "the state service does not answer"
+				return answer(failed(err))
 			}
 		}
 		if v.State == wire.StateUnknown {
-			return fasthttp.StatusUnprocessableEntity, "rules: " + k.Clause.String() + " names a job that was never accepted"
+			return answer(refused(fasthttp.StatusUnprocessableEntity, "rules: "+k.Clause.String()+" names a job that was never accepted"))
 		}
 		if v.Spec != nil {
 			zones[k.Job] = constraint.ZonesOf(v.Spec, types)
@@ -50,7 +51,7 @@
 		return z, ok
 	}})
 	if err != nil {
-		return fasthttp.StatusUnprocessableEntity, err.Error()
+		return answer(refused(fasthttp.StatusUnprocessableEntity, err.Error()))
 	}
-	return 0, ""
+	return nil
 }
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -40,8 +40,8 @@
 	return budget.Newcomers
 }
 
-// welcome enters what a connection is for, and tells whether its request is taken. One that is
-// not is answered at once, with when to come back.
+// welcome enters what a connection is for, and tells whether it may be held for that. A request
+// on one that may not is answered at once, with when to come back, or by another member.
 func (s *Server) welcome(c *fasthttp.RequestCtx, path string) bool {
 	held, ok := c.Conn().(*budget.Conn)
 	if !ok {
@@ -49,7 +49,6 @@
 	}
 	if !held.Become(ownerOf(path)) {
 		c.SetConnectionClose()
-		s.unavailable(c, "no connection is free")
 		return false
 	}
 	if !held.Keep() {
--- /dev/null
+++ b/internal/node/hands.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/config"
+	"github.com/glentiller/glentiller/internal/peer"
+	"github.com/glentiller/glentiller/internal/peer/peerpb"
+	"github.com/glentiller/glentiller/internal/route"
+)
+
+// newRouter makes what decides where users' requests are answered; nil: where they come.
+func (n *Node) newRouter() *route.Router {
+	set := config.Routing(n.plat, n.oper)
+	if set == nil {
+		return nil
+	}
+	return route.New(*set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(way string, from, to route.BreakerState) {
+		n.log.Info("way of requests", "by", way, "from", from.String(), "to", to.String())
+	})
+}
+
+// ahead is by how much sooner than its user another member gives a request up.
+const ahead = 50 * time.Millisecond
+
+// Hand hands a user's request to another member, and says what became of it.
+func (n *Node) Hand(ctx context.Context, member string, q route.Request) route.Answer {
+	h := &peerpb.Hand{Kind: uint32(q.Kind), Id: q.ID, Body: q.Body}
+	if until, ok := ctx.Deadline(); ok {
+		h.WaitMs = uint32(max(time.Until(until)-ahead, ahead).Milliseconds())
+	}
+	a, err := n.hands[member].Hand(ctx, h)
+	switch {
+	case errors.Is(err, peer.ErrDialing):
+		return route.Answer{Cause: route.Busy}
+	case err != nil && ctx.Err() != nil:
+		return route.Answer{Cause: route.Silent}
+	case err != nil || a == nil:
+		return route.Answer{Cause: route.Refused}
+	}
+	out := route.Answer{Cause: route.Cause(min(a.GetCause(), 255)), Status: int(a.GetStatus()), Body: a.GetBody(), After: time.Duration(a.GetAfterS()) * time.Second}
+	if out.Cause == route.Taken && (out.Status < http.StatusOK || out.Status >= http.StatusInternalServerError) {
+		return route.Answer{Cause: route.Unready}
+	}
+	return out
+}
+
+// Reached is when the state service has last answered anything.
+func (n *Node) Reached() time.Time { return n.state.Contact() }
+
+// Hand answers a user's request that another member cannot take.
+func (h relayed) Hand(ctx context.Context, q *peerpb.Hand) *peerpb.HandAnswer {
+	a := h.n.front.Visit(ctx, route.Request{Kind: route.Kind(min(q.GetKind(), 255)), ID: q.GetId(), Body: q.GetBody()}, time.Duration(q.GetWaitMs())*time.Millisecond)
+	return &peerpb.HandAnswer{Cause: uint32(a.Cause), Status: uint32(a.Status), Body: a.Body, AfterS: uint32(a.After.Round(time.Second) / time.Second)}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/glentiller/glentiller/internal/ledger"
 	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/peer"
+	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/worker"
 )
@@ -42,6 +43,8 @@
 	workers *worker.Client
 	front   *front.Server
 	peers   map[string]*peer.Client
+	hands   map[string]*peer.Client // for users' requests, so that a late one costs no promise
+	router  *route.Router           // nil: requests are answered where they come
 	relays  relays
 	sockets *budget.Budget
 	memory  *budget.Memory
@@ -110,10 +113,12 @@
 		log.Warn("promises stay off: workers' leases, the leader's lease and 3 s are not below cancel_s", "lease_s", p.Deployment.Workers.Lease,
 			"leader_lease", set.Life, "cancel_s", p.Deployment.Workers.Cancel)
 	}
-	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns, Sockets: n.sockets, Rules: o.Constraints != nil}, n.jobs, n, time.Now, log)
-	n.peers = map[string]*peer.Client{}
+	n.router = n.newRouter()
+	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns, Sockets: n.sockets, Rules: o.Constraints != nil, Router: n.router}, n.jobs, n, time.Now, log)
+	n.peers, n.hands = map[string]*peer.Client{}, map[string]*peer.Client{}
 	for _, m := range p.Members {
 		n.peers[m.Member] = peer.NewClient(m.Addr, n.sockets.Dial(budget.Peers))
+		n.hands[m.Member] = peer.NewClient(m.Addr, n.sockets.Dial(budget.Peers))
 	}
 	n.share(false)
 	return n
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -85,6 +85,9 @@
 	for o, a := range sockets.Owners {
 		m.Sockets.Owners[o.String()] = admin.Socket{Used: a.Used, Share: a.Share, Turned: a.Turned}
 	}
+	if n.router != nil {
+		m.Requests = n.router.Standing(time.Now())
+	}
 	for o, left := range s.Promises {
 		m.Promises[o] = left.Seconds()
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -25,6 +26,8 @@
 	Ask(ctx context.Context, q *peerpb.Ask) *peerpb.AskAnswer
 	// Promise answers a leader that asks for a promise, or a member that asks who leads.
 	Promise(ctx context.Context, q *peerpb.PromiseAsk) *peerpb.PromiseAnswer
+	// Hand answers a user's request that another controller cannot take.
+	Hand(ctx context.Context, q *peerpb.Hand) *peerpb.HandAnswer
 	// Progress takes what the leader tells for display.
 	Progress(p *peerpb.Progress)
 }
@@ -80,7 +83,7 @@
 		switch b := e.Body.(type) {
 		case *peerpb.Envelope_Progress:
 			h.Progress(b.Progress)
-		case *peerpb.Envelope_Relay, *peerpb.Envelope_Ask, *peerpb.Envelope_PromiseAsk:
+		case *peerpb.Envelope_Relay, *peerpb.Envelope_Ask, *peerpb.Envelope_PromiseAsk, *peerpb.Envelope_Hand:
 			select {
 			case room <- struct{}{}:
 			default:
@@ -91,6 +94,8 @@
 				a := &peerpb.Envelope{Id: e.GetId()}
 				if q := e.GetPromiseAsk(); q != nil {
 					a.Body = &peerpb.Envelope_PromiseAnswer{PromiseAnswer: h.Promise(ctx, q)}
+				} else if q := e.GetHand(); q != nil {
+					a.Body = &peerpb.Envelope_HandAnswer{HandAnswer: h.Hand(ctx, q)}
 				} else if ask := e.GetAsk(); ask != nil {
 					a.Body = &peerpb.Envelope_AskAnswer{AskAnswer: h.Ask(ctx, ask)}
 				} else {
@@ -115,27 +120,35 @@
 // Client talks to one other controller over one connection, which it makes when
 // it needs it.
 type Client struct {
-	addr string
-	dial rpc.Dial
+	addr  string
+	dial  rpc.Dial
+	heard atomic.Uint64 // answers that have come
 
 	mu      sync.Mutex
 	conn    net.Conn
 	dialing bool
 	next    uint64
-	waiting map[uint64]chan *peerpb.Envelope
+	waiting map[uint64]waiter
+}
+
+// waiter is a request that waits for its answer.
+type waiter struct {
+	conn net.Conn // nil: it has not been sent yet
+	got  chan *peerpb.Envelope
 }
 
 // NewClient makes a client; connections are made under a condition (rpc.New).
 func NewClient(addr string, under func(rpc.Dial) rpc.Dial) *Client {
 	c := &Client{addr: addr, dial: func(addr string) (net.Conn, error) { return net.DialTimeout("tcp4", addr, dialTimeout) },
-		waiting: map[uint64]chan *peerpb.Envelope{}}
+		waiting: map[uint64]waiter{}}
 	if under != nil {
 		c.dial = under(c.dial)
 	}
 	return c
 }
 
-var errBusy = errors.New("a connection is being made")
+// ErrDialing says that a connection is being made, for somebody else.
+var ErrDialing = errors.New("a connection is being made")
 
 // connect returns the connection. Only one caller at a time makes one; the
 // others are turned away meanwhile, rather than queued behind a dead address.
@@ -144,7 +157,7 @@
 	if c.conn != nil || c.dialing {
 		defer c.mu.Unlock()
 		if c.conn == nil {
-			return nil, errBusy
+			return nil, ErrDialing
 		}
 		return c.conn, nil
 	}
@@ -170,16 +183,19 @@
 			c.drop(conn)
 			return
 		}
+		c.heard.Add(1)
 		c.mu.Lock()
-		ch := c.waiting[e.GetId()]
+		w, ok := c.waiting[e.GetId()]
 		delete(c.waiting, e.GetId())
 		c.mu.Unlock()
-		if ch != nil {
-			ch <- e
+		if ok {
+			w.got <- e
 		}
 	}
 }
 
+// drop closes a connection. What waits for an answer on it waits no longer: guards against a
+// request that is held up for all of its time by a member that has just crashed.
 func (c *Client) drop(conn net.Conn) {
 	_ = conn.Close()
 	c.mu.Lock()
@@ -187,6 +203,12 @@
 	if c.conn == conn {
 		c.conn = nil
 	}
+	for id, w := range c.waiting {
+		if w.conn == conn {
+			delete(c.waiting, id)
+			close(w.got)
+		}
+	}
 }
 
 func (c *Client) send(e *peerpb.Envelope) error {
@@ -195,6 +217,10 @@
 		return err
 	}
 	c.mu.Lock()
+	if w, ok := c.waiting[e.GetId()]; ok && e.GetId() != 0 {
+		w.conn = conn
+		c.waiting[e.GetId()] = w
+	}
 	err = write(conn, e)
 	c.mu.Unlock()
 	if err != nil {
@@ -223,13 +249,47 @@
 	return a.GetPromiseAnswer(), err
 }
 
-// ask sends a request and waits for its answer.
+// Hand hands a user's request to this controller and waits for its answer. An old version does
+// not answer. A connection on which nothing at all has come meanwhile may be dead without a word:
+// it is closed.
+func (c *Client) Hand(ctx context.Context, q *peerpb.Hand) (*peerpb.HandAnswer, error) {
+	heard := c.heard.Load()
+	a, late, err := c.exchange(ctx, &peerpb.Envelope{Body: &peerpb.Envelope_Hand{Hand: q}})
+	if late && c.heard.Load() == heard {
+		c.quit()
+	}
+	return a.GetHandAnswer(), err
+}
+
+// quit closes the connection.
+func (c *Client) quit() {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		c.drop(conn)
+	}
+}
+
+// ask sends a request and waits for its answer. A connection that does not answer may be dead
+// without a word: it is closed.
 func (c *Client) ask(ctx context.Context, q *peerpb.Envelope) (*peerpb.Envelope, error) {
-	ch := make(chan *peerpb.Envelope, 1)
+	a, late, err := c.exchange(ctx, q)
+	if late {
+		c.quit()
+	}
+	return a, err
+}
+
+var errLost = errors.New("the connection was lost")
+
+// exchange sends a request and waits for its answer; late tells that none came in time.
+func (c *Client) exchange(ctx context.Context, q *peerpb.Envelope) (a *peerpb.Envelope, late bool, err error) {
+	got := make(chan *peerpb.Envelope, 1)
 	c.mu.Lock()
 	c.next++
 	id := c.next
-	c.waiting[id] = ch
+	c.waiting[id] = waiter{got: got}
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
@@ -238,20 +298,16 @@
 	}()
 	q.Id = id
 	if err := c.send(q); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	select {
-	case a := <-ch:
-		return a, nil
-	case <-ctx.Done():
-		// A connection that does not answer may be dead without a word.
-		c.mu.Lock()
-		conn := c.conn
-		c.mu.Unlock()
-		if conn != nil {
-			c.drop(conn)
+	case a, ok := <-got:
+		if !ok {
+			return nil, false, errLost
 		}
-		return nil, ctx.Err()
+		return a, false, nil
+	case <-ctx.Done():
+		return nil, true, ctx.Err()
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -35,6 +35,13 @@
 	return &peerpb.PromiseAnswer{Granted: q.GetToken() > 6, Member: "tiller-1"}
 }
 
+func (l *leader) Hand(ctx context.Context, q *peerpb.Hand) *peerpb.HandAnswer {
+	if q.GetId() == "hang" {
+		<-ctx.Done()
+	}
+	return &peerpb.HandAnswer{Status: 201, Body: append([]byte("took "), q.GetBody()...)}
+}
+
 func (l *leader) Progress(p *peerpb.Progress) { l.told <- p }
 
 func start(t *testing.T) (*leader, string) {
