Promises last longer while the state service is silent

A member that crashed in an outage ended the leader's right 3.5 s later: it has no memory, and may have told users of cancellations.

With <outage> in <promises> members promise for up to 10 s, bounded by what cancel_s leaves beside the workers' lease, while the state service is silent; nobody could take over meanwhile whatever they promise. The leader waives it with its first renewal, questions are numbered so that nothing late counts or shortens, members bound to a leader that crashed ask its new life, and past the shorter time nothing is started. A stale leader that gives a promise back no longer ends what an earlier life promised another. The model plays all of it, and finds each part left out.

--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -123,6 +123,10 @@
 	// leases, which it has kept alive until then, must run out in time.
 	if w := p.Deployment.Workers; o.Promises != nil && Seconds(w.Lease)+s.Life+promiseSlack < Seconds(w.Cancel) {
 		s.Promise = s.Life * 7 / 8
+		// The same for a cancellation that somebody tells of right after such a promise.
+		if s.Outage = min(o.Promises.Outage.D(), Seconds(w.Cancel)-Seconds(w.Lease)-promiseSlack); s.Outage <= s.Promise {
+			s.Outage = 0
+		}
 	}
 	return s
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -96,8 +96,11 @@
 type Constraints struct{ strict }
 
 // Promises has the other controllers promise the leader not to take over, so that it
-// outlives outages of the state service. There is nothing to set.
-type Promises struct{ strict }
+// outlives outages of the state service.
+type Promises struct {
+	Outage Duration `xml:"outage"` // of a promise while the state service is silent; 0: no longer than others
+	strict
+}
 
 // Requests has users' requests go round what fails: to a member that can take them, within
 // limits that adapt.
@@ -303,7 +306,7 @@
 		part("constraints", &c.strict)
 	}
 	if c := o.Promises; c != nil {
-		part("promises", &c.strict)
+		part("promises", &c.strict, between("promises/outage", c.Outage, 0, time.Minute))
 	}
 	if r := o.Requests; r != nil {
 		part("requests", &r.strict, among("requests/retries", r.Retries, 0, 1), between("requests/hedge", r.Hedge, 0, 2*time.Second),
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -119,6 +119,7 @@
 	lastPass  time.Time
 	passPause time.Duration // from one pass's beginning to the next one's, at least
 	passed    bool          // the last step held a pass
+	still     bool          // nothing is started
 	restored  bool          // nothing of the highest rank from before the takeover waits any more
 	listAt    time.Time
 	catalogAt time.Time
@@ -297,7 +298,7 @@
 		c.status(now)
 		c.statusAt = now.Add(10 * time.Second)
 	}
-	if c.dirty && !now.Before(c.passAt()) {
+	if c.dirty && !c.still && !now.Before(c.passAt()) {
 		c.passed = true
 		c.pass(now)
 	}
@@ -347,7 +348,7 @@
 // Wake is when the next Tick is due.
 func (c *Core) Wake() time.Time {
 	t := c.sweepAt
-	if c.dirty {
+	if c.dirty && !c.still {
 		if p := c.passAt(); p.Before(t) {
 			t = p
 		}
@@ -358,6 +359,15 @@
 	return t
 }
 
+// Still has the core start nothing until it is told otherwise: docs/safety.md, "Promises for
+// longer". Whatever runs goes on.
+func (c *Core) Still(still bool) {
+	if c.still != still {
+		c.log.Info("starting tasks", "still", still, "token", c.token)
+	}
+	c.still = still
+}
+
 // Resume tells the core that it may act again after a time without the right
 // to: machines could not report, so their silence says nothing.
 func (c *Core) Resume(now time.Time) { c.resumeAt = now.Add(c.set.SilentAfter) }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -33,6 +33,7 @@
 	Retry  time.Duration // after a failed renewal
 
 	Promise time.Duration // how long members promise a leader not to claim; 0: they promise nothing
+	Outage  time.Duration // the same while the state service is silent; 0: no longer
 	Others  []string      // the other members
 }
 
@@ -81,10 +82,15 @@
 		Member string
 		Token  uint64
 		Sent   time.Time
+		Seq    uint64        // of the question
+		For    time.Duration // for how long; 0: an old version, for Promise
+	}
+	// Unbound: another member, as asked at Sent, has said that it does not lead, so that
+	// nothing that this member promised it before counts.
+	Unbound struct {
+		Member string
+		Sent   time.Time
 	}
-	// Unbound: another member has said that it does not lead, so that nothing that this
-	// member promised it in an earlier life counts.
-	Unbound struct{ Member string }
 )
 
 func (Tick) electionEvent()    {}
@@ -114,7 +120,11 @@
 	Elected struct{ Token, TokenVersion uint64 }
 	Deposed struct{}
 	// AskPromises asks all other members for their promise to this leader.
-	AskPromises struct{ Token uint64 }
+	AskPromises struct {
+		Token, Seq uint64
+		For        time.Duration
+		Instead    bool // nothing that was asked for longer before counts any more
+	}
 	// AskUnbound asks the other members whether they lead.
 	AskUnbound struct{}
 	// Release tells the others that this leader needs their promises no more.
@@ -179,13 +189,26 @@
 func (m *Machine) RightUntil() time.Time {
 	until := m.LeaseUntil()
 	if m.state == Leading {
-		if p := m.promises.proven(&m.set); p.After(until) {
+		if p, _ := m.promises.proven(&m.set); p.After(until) {
 			return p
 		}
 	}
 	return until
 }
 
+// StartsUntil is until when tasks may be started by the right. It is no later than the right,
+// and earlier where that rests on a promise for longer than Promise: a member that
+// has answered nothing for so long may have told users of cancellations since.
+func (m *Machine) StartsUntil() time.Time {
+	until := m.LeaseUntil()
+	if m.state == Leading {
+		if _, starts := m.promises.proven(&m.set); starts.After(until) {
+			return starts
+		}
+	}
+	return until
+}
+
 // LeaseUntil is when the part of the right ends that rests on the lease.
 func (m *Machine) LeaseUntil() time.Time {
 	if m.state != Leading {
@@ -277,10 +300,10 @@
 		// Only while the right has not lapsed: once it has, somebody else may have led
 		// since, and this leader's picture may be old. Its lease alone can tell.
 		if m.state == Leading && ev.Token == m.token && m.Entitled(now) {
-			m.promises.have(&m.set, ev.Member, ev.Sent)
+			m.promises.have(&m.set, ev)
 		}
 	case Unbound:
-		m.promises.unbound(&m.set, ev.Member)
+		m.promises.unbound(&m.set, ev.Member, ev.Sent)
 	}
 	return nil
 }
@@ -302,8 +325,7 @@
 		return append(out, Look{})
 	case Leading:
 		if m.set.Promise > 0 && !now.Before(m.promises.askAt) {
-			m.promises.askAt = now.Add(m.set.Promise / 4)
-			out = append(out, AskPromises{m.token})
+			out = append(out, m.promises.question(now, m.sent, &m.set, m.token))
 		}
 		if m.touching {
 			m.next = now.Add(m.set.Retry)
@@ -351,7 +373,15 @@
 		return []Effect{Drop{r.Lease}}
 	case r.Held:
 		m.to(Following, now.Add(m.set.Look))
-	case now.Before(m.holdOff), m.promises.bound(now):
+	case m.promises.bound(now):
+		m.to(Following, now.Add(m.set.Retry))
+		if m.set.Outage > 0 && m.promises.to == bondHeld && !now.Before(m.promises.askAt) {
+			// Nobody holds the key, and this member is bound to somebody: does that one still
+			// lead? Guards against a long wait after a leader that has crashed in an outage.
+			m.promises.askAt = now.Add(m.set.Retry)
+			return []Effect{AskUnbound{}}
+		}
+	case now.Before(m.holdOff):
 		m.to(Following, now.Add(m.set.Retry))
 	default:
 		m.token, m.version = r.Token, r.TokenVersion
@@ -396,6 +426,9 @@
 		if ev.Sent.After(m.sent) {
 			m.sent = ev.Sent
 		}
+		if now.Before(m.LeaseUntil()) {
+			m.promises.waive()
+		}
 		m.next = ev.Sent.Add(m.set.Life / 4)
 	}
 	return nil
--- a/internal/election/model_test.go
+++ b/internal/election/model_test.go
@@ -60,6 +60,14 @@
 	cutShort          // members keep a promise for a third of the time
 	forgotten         // a member that restarts claims at once
 	revived           // a leader takes promises after its right has lapsed
+	briefly           // a member that restarts keeps only the shorter promises of an earlier life
+	stale             // a member takes word from before its promise that the leader does not lead
+	overtaken         // a member has a question that was overtaken shorten its promise
+)
+
+const (
+	short   = 3500 * time.Millisecond
+	outages = 10 * time.Second
 )
 
 var names = []string{"tiller-0", "tiller-1", "tiller-2"}
@@ -71,15 +79,20 @@
 func (w *model) start(i int) {
 	k := w.members[i]
 	k.up, k.since = true, w.now
-	set := Settings{Member: k.name, Life: 4 * time.Second, Margin: 200 * time.Millisecond, Look: 2 * time.Second, Retry: 250 * time.Millisecond, Promise: 3500 * time.Millisecond}
+	set := Settings{Member: k.name, Life: 4 * time.Second, Margin: 200 * time.Millisecond, Look: 2 * time.Second, Retry: 250 * time.Millisecond, Promise: short, Outage: outages}
 	for _, n := range names {
 		if n != k.name {
 			set.Others = append(set.Others, n)
 		}
 	}
 	k.m = New(w.clock(k), set, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	if w.variant == forgotten {
-		k.m.promises.move(bondFree, time.Time{})
+	switch p := &k.m.promises; w.variant {
+	case forgotten:
+		p.born = time.Time{}
+		p.move(bondFree, time.Time{})
+	case briefly:
+		p.born = w.clock(k).Add(short + short/1000 + set.Margin)
+		p.move(bondBorn, p.born)
 	}
 }
 
@@ -216,20 +229,27 @@
 				continue
 			}
 			w.tell(i, o, func(other *member) {
-				at := w.clock(other)
-				if w.variant == cutShort {
-					other.m.set.Promise = 3500 * time.Millisecond / 3
+				q := Question{Leader: k.name, Token: e.Token, Seq: e.Seq, For: e.For, Instead: e.Instead}
+				at, p := w.clock(other), &other.m.promises
+				switch w.variant {
+				case cutShort:
+					q.For /= 3
+				case overtaken:
+					p.asked = 0
 				}
-				granted := other.m.Promise(at, k.name, e.Token)
-				other.m.set.Promise = 3500 * time.Millisecond
-				if !granted {
+				long := other.m.Promise(at, q)
+				if long == 0 {
 					return
 				}
+				if w.variant == cutShort {
+					long *= 3
+				}
 				w.tell(o, i, func(k *member) {
+					back := PromiseBack{other.name, e.Token, sent, e.Seq, long}
 					if w.variant == revived && k.m.state == Leading && k.m.token == e.Token {
-						k.m.promises.have(&k.m.set, other.name, sent)
+						k.m.promises.have(&k.m.set, back)
 					}
-					w.step(i, PromiseBack{other.name, e.Token, sent})
+					w.step(i, back)
 				})
 			})
 		}
@@ -238,7 +258,12 @@
 			if o != i {
 				w.tell(i, o, func(other *member) {
 					if other.m.state != Leading && other.m.state != Claiming {
-						w.tell(o, i, func(*member) { w.step(i, Unbound{other.name}) })
+						w.tell(o, i, func(*member) {
+							if w.variant == stale {
+								sent = w.clock(k)
+							}
+							w.step(i, Unbound{other.name, sent})
+						})
 					}
 				})
 			}
@@ -337,32 +362,140 @@
 }
 
 func TestOnlyOneMayActWhateverFails(t *testing.T) {
-	claims, onPromises := 0, 0
-	for seed := range uint64(2000) {
-		w, err := play(seed, correct)
-		if err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
+	const shards = 4
+	var claims, onPromises [shards]int
+	t.Run("plays", func(t *testing.T) {
+		for i := range shards {
+			t.Run(fmt.Sprint(i), func(t *testing.T) {
+				t.Parallel()
+				for seed := uint64(i); seed < 2000; seed += shards {
+					w, err := play(seed, correct)
+					if err != nil {
+						t.Fatalf("seed %d: %v", seed, err)
+					}
+					claims[i] += w.claims
+					onPromises[i] += w.entitled
+				}
+			})
 		}
-		claims += w.claims
-		onPromises += w.entitled
-	}
-	if claims < 1000 || onPromises < 1000 {
-		t.Errorf("%d claims and %d moments on promises alone show little", claims, onPromises)
+	})
+	for i := range shards {
+		if claims[i] < 250 || onPromises[i] < 250 {
+			t.Errorf("%d claims and %d moments on promises alone show little", claims[i], onPromises[i])
+		}
+		t.Logf("%d claims, %d moments of 20 ms on promises alone", claims[i], onPromises[i])
 	}
-	t.Logf("%d claims, %d moments of 20 ms on promises alone", claims, onPromises)
 }
 
 func TestTheModelFindsBrokenPromises(t *testing.T) {
-	for v, name := range map[variant]string{cutShort: "cut short", forgotten: "forgotten", revived: "taken after the right has lapsed"} {
-		found := false
-		for seed := uint64(0); seed < 3000 && !found; seed++ {
-			_, err := play(seed, v)
-			if found = err != nil; found {
-				t.Logf("%s: seed %d: %v", name, seed, err)
+	for v, name := range map[variant]string{cutShort: "cut short", forgotten: "forgotten", revived: "taken after the right has lapsed",
+		briefly: "kept for too short by a new life", stale: "given up on old word", overtaken: "shortened by an old question"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3000) {
+				if _, err := play(seed, v); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
+
+// longer is two members of which the first leads and the second has promised it for longer: both
+// are without the state service since 3 s.
+func longer(t *testing.T) (a, b *Machine, now time.Time, q AskPromises) {
+	t.Helper()
+	now = time.Unix(1000, 0)
+	set := func(name string, others ...string) Settings {
+		return Settings{Member: name, Life: 4 * time.Second, Margin: 200 * time.Millisecond, Look: 2 * time.Second, Retry: 250 * time.Millisecond,
+			Promise: short, Outage: outages, Others: others}
+	}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	a, b = New(now, set("a", "b"), quiet), New(now, set("b", "a"), quiet)
+	a.Step(now, Unbound{"b", now})
+	a.Step(now, Tick{})
+	a.Step(now, Looked{})
+	a.Step(now, Granted{Lease: 7, Sent: now})
+	a.Step(now, Claimed{OK: true, Version: 1})
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		for _, e := range a.Step(now, Tick{}) {
+			switch e := e.(type) {
+			case AskPromises:
+				q = e
+				long := b.Promise(now, Question{"a", e.Token, e.Seq, e.For, e.Instead})
+				a.Step(now, PromiseBack{"b", e.Token, now, e.Seq, long})
+			case Touch:
+				a.Step(now, Touched{Lease: 7, Sent: now, Err: io.EOF})
 			}
 		}
-		if !found {
-			t.Errorf("%s: not found", name)
+	}
+	if q.For != outages || q.Instead || !a.RightUntil().After(now.Add(8*time.Second)) || a.StartsUntil().After(now.Add(short)) {
+		t.Fatalf("asked for %+v, the right until %v, starts until %v", q, a.RightUntil().Sub(now), a.StartsUntil().Sub(now))
+	}
+	return a, b, now, q
+}
+
+// The lease is renewed: what was promised for longer is given back, and an answer to it that
+// comes late must not count, since the other one is bound by the shorter promise only.
+func TestALongerPromiseThatWasWaivedCountsNoMore(t *testing.T) {
+	a, b, now, q := longer(t)
+	renewed := now
+	a.Step(now, Touched{Lease: 7, Sent: renewed})
+	if until := a.RightUntil(); !until.Equal(a.LeaseUntil()) {
+		t.Fatalf("after the renewal the right goes %v beyond the lease", until.Sub(a.LeaseUntil()))
+	}
+	now = now.Add(time.Second)
+	for _, e := range a.Step(now, Tick{}) {
+		if e, ok := e.(AskPromises); ok {
+			if !e.Instead || e.For != short {
+				t.Fatalf("asked %+v", e)
+			}
+			b.Promise(now, Question{"a", e.Token, e.Seq, e.For, e.Instead})
 		}
 	}
+	if left := b.Standing(now).Bound; left > short {
+		t.Errorf("the other one is still bound for %v", left)
+	}
+	b.Promise(now, Question{"a", q.Token, q.Seq, q.For, q.Instead}) // the old question comes late: it binds, and is not counted on
+	a.Step(now, PromiseBack{"b", q.Token, renewed, q.Seq, outages})
+	if until := a.RightUntil(); until.After(a.LeaseUntil()) {
+		t.Errorf("an answer to a question that was waived extends the right by %v", until.Sub(a.LeaseUntil()))
+	}
+}
+
+// A member that has crashed promises something to a leader of old, which then steps down and gives
+// it back. What the member's earlier life promised the present leader stands.
+func TestAStaleLeaderGivesBackNothingOfOthers(t *testing.T) {
+	_, b, now, _ := longer(t)
+	c := New(now, b.set, b.log)
+	if c.Promise(now, Question{Leader: "old", Token: 0, Seq: 1, For: short}) == 0 {
+		t.Fatal("promised nothing")
+	}
+	c.Released(0)
+	if left := c.Standing(now).Bound; left < outages {
+		t.Errorf("bound for %v only", left)
+	}
+}
+
+// A leader crashes in the outage: those that are bound to it for long are free as soon as its
+// new life says that it does not lead, and not by a word from before their promise.
+func TestAPromiseEndsWhenItsLeaderSaysThatItLeadsNoMore(t *testing.T) {
+	_, b, now, _ := longer(t)
+	b.Step(now, Unbound{"a", now.Add(-time.Minute)})
+	if b.Standing(now).Bound == 0 {
+		t.Fatal("free by old word")
+	}
+	b.Step(now, Tick{})
+	asks := false
+	for _, e := range b.Step(now, Looked{}) {
+		_, ok := e.(AskUnbound)
+		asks = asks || ok
+	}
+	b.Step(now.Add(time.Second), Unbound{"a", now.Add(time.Second)})
+	if !asks || b.Standing(now.Add(time.Second)).Bound != 0 {
+		t.Errorf("asked: %v, bound for %v", asks, b.Standing(now.Add(time.Second)).Bound)
+	}
 }
--- a/internal/fake/promises_test.go
+++ b/internal/fake/promises_test.go
@@ -9,10 +9,16 @@
 
 // promising is the small deployment whose controllers promise the leader not to take over.
 func promising(t *testing.T, machines int) *World {
+	t.Helper()
+	return promisingFor(t, machines, 0)
+}
+
+// promisingFor is the same; in outages they promise for longer.
+func promisingFor(t *testing.T, machines int, outage time.Duration) *World {
 	t.Helper()
 	w := deployment(t, machines)
 	for _, c := range w.Controllers {
-		c.esets.Promise = c.esets.Life * 7 / 8
+		c.esets.Promise, c.esets.Outage = c.esets.Life*7/8, outage
 		c.Crash()
 		c.Start()
 	}
@@ -169,3 +175,68 @@
 		}
 	}
 }
+
+// Another member crashes in an outage and has no memory when it is back. The leader goes on for as
+// long as that member has promised: workers' leases hold until the outage is over. It starts
+// nothing after the time that every promise lasts, since the other one may have told users of
+// cancellations; those take effect in time all the same.
+func TestACrashOfAnotherMemberInAnOutageKillsNothing(t *testing.T) {
+	w := promisingFor(t, 4, 10*second)
+	serve := job(model.Service, 2, nil)
+	work := job(model.Array, 40, func(s *model.Spec) { s.Team = "blue" })
+	gone := job(model.Service, 1, nil)
+	submit(t, w, serve)
+	submit(t, w, work)
+	submit(t, w, gone)
+	until(t, w, 30*second, "all that may run does", func() bool { return on(w, serve) == 2 && on(w, work) == 4 && on(w, gone) == 1 })
+	leader := w.Leader()
+	other := w.Controllers[0]
+	if other == leader {
+		other = w.Controllers[1]
+	}
+	leader.NoNet = true // the leader does not hear of the cancellation any more
+	if _, err := w.Cancel(other, gone.ID); err != nil {
+		t.Fatal(err)
+	}
+	w.State.SetDown(true)
+	w.Pass(5 * second)
+	leader.NoNet = false
+	if w.Leader() != leader {
+		t.Fatal("the leader does not outlive the outage")
+	}
+	other.Crash()
+	other.Start()
+	w.Pass(5 * second)
+	before := starts(w, work)
+	w.Pass(3 * second)
+	if w.Leader() != leader {
+		t.Error("the right has ended with the other member")
+	}
+	if n := starts(w, work); n != before {
+		t.Errorf("%d tasks were started by a promise that may be of old", n-before)
+	}
+	w.Pass(8 * second)
+	w.State.SetDown(false)
+	until(t, w, 20*second, "all goes on", func() bool { return w.Leader() != nil && starts(w, work) > before })
+	if n := starts(w, serve); n != 2 || on(w, gone) != 0 {
+		t.Errorf("replicas were started %d times, of 2; %d of the cancelled job run", n, on(w, gone))
+	}
+}
+
+// The leader crashes in an outage. The others are bound to it for long, and free as soon as its
+// new life says that it leads no more.
+func TestALongPromiseDoesNotDelayTakeovers(t *testing.T) {
+	w := promisingFor(t, 2, 10*second)
+	leader := w.Leader()
+	w.State.SetDown(true)
+	w.Pass(8 * second)
+	leader.Crash()
+	w.Pass(2 * second)
+	leader.Start()
+	w.State.SetDown(false)
+	at := w.now
+	until(t, w, 20*second, "somebody leads", func() bool { return w.Leader() != nil })
+	if took := w.now.Sub(at); took > 6*second {
+		t.Errorf("a takeover after the outage took %v", took)
+	}
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -445,6 +445,7 @@
 		if c.held {
 			c.Core.Resume(c.w.now)
 		}
+		c.Core.Still(!c.w.now.Before(c.Elect.StartsUntil()))
 		c.act(control.Tick{})
 		if c.Core.Deaf(c.w.now) {
 			c.election(election.Resign{})
@@ -478,7 +479,8 @@
 				}
 				rev, silent := c.Jobs.Revision(), c.w.now.Sub(c.State.Contact())
 				c.w.between(c, o, func() {
-					if granted, cancelled := o.promise(c.Member, e.Token, rev, silent); granted {
+					q := election.Question{Leader: c.Member, Token: e.Token, Seq: e.Seq, For: e.For, Instead: e.Instead}
+					if long, cancelled := o.promise(q, rev, silent); long > 0 {
 						c.w.between(o, c, func() {
 							if c.token != e.Token {
 								return
@@ -486,7 +488,7 @@
 							for _, id := range cancelled {
 								c.act(control.JobEnded{ID: id, End: model.EndCancelled})
 							}
-							c.election(election.PromiseBack{Member: o.Member, Token: e.Token, Sent: sent})
+							c.election(election.PromiseBack{Member: o.Member, Token: e.Token, Sent: sent, Seq: e.Seq, For: long})
 						})
 					}
 				})
@@ -499,7 +501,7 @@
 						if s := o.Elect.State(); s != election.Leading && s != election.Claiming {
 							c.w.between(o, c, func() {
 								if c.Elect == life {
-									c.election(election.Unbound{Member: o.Member})
+									c.election(election.Unbound{Member: o.Member, Sent: sent})
 								}
 							})
 						}
@@ -524,15 +526,15 @@
 }
 
 // promise decides as package node does.
-func (c *Controller) promise(leader string, token, rev uint64, silent time.Duration) (bool, []string) {
+func (c *Controller) promise(q election.Question, rev uint64, silent time.Duration) (time.Duration, []string) {
 	if c.Jobs.Revision() == 0 || c.State.Contact().Sub(c.w.now.Add(-silent)) > 2*time.Second {
-		return false, nil
+		return 0, nil
 	}
 	cancelled, all := c.Jobs.CancelledSince(rev)
-	if !all || !c.Elect.Promise(c.w.now, leader, token) {
-		return false, nil
+	if !all {
+		return 0, nil
 	}
-	return true, cancelled
+	return c.Elect.Promise(c.w.now, q), cancelled
 }
 
 // between carries a message from one controller to another, unless one is down or they are
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -238,6 +238,7 @@
 		n.elected(now, n.elect.Step(now, election.Tick{}))
 		wake := n.elect.Wake()
 		if n.core != nil && n.right.Load().holds() {
+			n.core.Still(!n.right.Load().mayStart(now))
 			n.hold("pass", func(now time.Time) {
 				n.step(now, control.Tick{})
 				if took := time.Since(now); n.core != nil && n.core.Took(took) && took > longPass {
@@ -312,7 +313,7 @@
 	if now.Sub(n.held.told) < holdEvery {
 		return
 	}
-	n.log.Info("loop", "longest_hold", n.held.most, "by", n.held.what, "inbox", len(n.inbox), "right", n.right.Load().until.Sub(now))
+	n.log.Info("loop", "longest_hold", n.held.most, "by", n.held.what, "inbox", len(n.inbox), "right", n.right.Load().until().Sub(now))
 	n.held = holds{told: now}
 }
 
@@ -391,7 +392,7 @@
 				}
 			})
 		case election.AskPromises:
-			n.askPromises(n.term, e.Token)
+			n.askPromises(n.term, e)
 		case election.AskUnbound:
 			n.askUnbound()
 		case election.Release:
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -20,8 +20,9 @@
 const served = 2 * time.Second
 
 // askPromises asks all other members for their promise.
-func (n *Node) askPromises(term, token uint64) {
-	q := &peerpb.PromiseAsk{Member: n.plat.Member, Token: token, Revision: n.jobs.Revision()}
+func (n *Node) askPromises(term uint64, e election.AskPromises) {
+	token := e.Token
+	q := &peerpb.PromiseAsk{Member: n.plat.Member, Token: token, Revision: n.jobs.Revision(), Seq: e.Seq, ForMs: uint64(e.For.Milliseconds()), Instead: e.Instead}
 	now := time.Now()
 	if at := n.state.Contact(); !at.IsZero() {
 		q.SilentMs = uint64(now.Sub(at).Milliseconds())
@@ -48,7 +49,8 @@
 				for _, id := range a.GetCancelled() {
 					n.step(now, control.JobEnded{ID: id, End: model.EndCancelled})
 				}
-				n.elected(now, n.elect.Step(now, election.PromiseBack{Member: a.GetMember(), Token: token, Sent: sent}))
+				n.elected(now, n.elect.Step(now, election.PromiseBack{Member: a.GetMember(), Token: token, Sent: sent,
+					Seq: e.Seq, For: time.Duration(a.GetForMs()) * time.Millisecond}))
 			})
 		})
 	}
@@ -60,8 +62,9 @@
 		n.spawn(func() {
 			ctx, cancel := context.WithTimeout(n.ctx, promiseWait)
 			defer cancel()
+			sent := time.Now()
 			if a, err := c.Promise(ctx, &peerpb.PromiseAsk{Member: n.plat.Member}); err == nil && a != nil && !a.GetLeads() {
-				n.election(election.Unbound{Member: name})
+				n.election(election.Unbound{Member: name, Sent: sent})
 			}
 		})
 	}
@@ -123,7 +126,9 @@
 		case q.GetRelease():
 			n.elect.Released(q.GetToken())
 		case ctx.Err() == nil:
-			a.Granted, a.Cancelled = n.promise(now, q)
+			var long time.Duration
+			long, a.Cancelled = n.promise(now, q)
+			a.Granted, a.ForMs = long > 0, uint64(long.Milliseconds())
 		}
 		return a
 	})
@@ -133,20 +138,23 @@
 	return a
 }
 
-// promise decides whether this member promises a leader not to claim.
-func (n *Node) promise(now time.Time, q *peerpb.PromiseAsk) (granted bool, cancelled []string) {
+// promise decides whether this member promises a leader not to claim, and for how long; 0: it
+// does not.
+func (n *Node) promise(now time.Time, q *peerpb.PromiseAsk) (long time.Duration, cancelled []string) {
 	// One that has not read the records since its start may have told users of
 	// cancellations, in an earlier life, that the leader does not know.
 	if n.jobs.Revision() == 0 {
-		return false, nil
+		return 0, nil
 	}
 	silent := time.Duration(q.GetSilentMs()) * time.Millisecond
 	if at := n.state.Contact(); at.Sub(now.Add(-silent)) > served {
-		return false, nil
+		return 0, nil
 	}
 	cancelled, all := n.jobs.CancelledSince(q.GetRevision())
-	if !all || !n.elect.Promise(now, q.GetMember(), q.GetToken()) {
-		return false, nil
+	if !all {
+		return 0, nil
 	}
-	return true, cancelled
+	long = n.elect.Promise(now, election.Question{Leader: q.GetMember(), Token: q.GetToken(), Seq: q.GetSeq(), Instead: q.GetInstead(),
+		For: time.Duration(min(q.GetForMs(), uint64(time.Minute.Milliseconds()))) * time.Millisecond})
+	return long, cancelled
 }
--- a/internal/node/right.go
+++ b/internal/node/right.go
@@ -11,24 +11,34 @@
 // right is the right to act, as it was last renewed.
 type right struct {
 	token, version uint64
-	until          time.Time
 	lease          time.Time // until when it rests on the lease at the state service
+	promised       time.Time // and until when on the promises of the other members
+	starts         time.Time // and until when tasks are started by those
+}
+
+func (r *right) until() time.Time { return latest(r.lease, r.promised) }
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // onPromises tells that the right rests on the promises of the other members alone.
-func (r *right) onPromises(now time.Time) bool { return !now.Before(r.lease) && now.Before(r.until) }
+func (r *right) onPromises(now time.Time) bool { return !now.Before(r.lease) && now.Before(r.promised) }
 
-func (r *right) holds() bool { return r != nil && time.Now().Before(r.until) }
+// mayStart tells that tasks may be started: docs/safety.md, "Promises for longer".
+func (r *right) mayStart(now time.Time) bool {
+	return r != nil && now.Before(latest(r.lease, r.starts))
+}
+
+func (r *right) holds() bool { return r != nil && time.Now().Before(r.until()) }
 
-// later is the right with the later ends of two.
-func (r *right) later(until, lease time.Time) *right {
+// renewed is the same right with a lease that holds at least until a moment.
+func (r *right) renewed(lease time.Time) *right {
 	out := *r
-	if until.After(out.until) {
-		out.until = until
-	}
-	if lease.After(out.lease) {
-		out.lease = lease
-	}
+	out.lease = latest(r.lease, lease)
 	return &out
 }
 
@@ -41,18 +51,20 @@
 	}
 	for {
 		old := n.right.Load()
-		r := &right{n.elect.Token(), n.elect.Version(), n.elect.RightUntil(), n.elect.LeaseUntil()}
+		r := &right{n.elect.Token(), n.elect.Version(), n.elect.LeaseUntil(), n.elect.RightUntil(), n.elect.StartsUntil()}
 		if old != nil && old.token == r.token {
-			r = r.later(old.until, old.lease)
+			// Of the lease a renewal beside the loop may have shown more. Of promises the
+			// election has the last word: it waives some.
+			r = r.renewed(old.lease)
 			if old.onPromises(now) != r.onPromises(now) {
-				n.log.Info("right to act", "token", r.token, "on_promises", r.onPromises(now), "until", r.until.Sub(now))
+				n.log.Info("right to act", "token", r.token, "on_promises", r.onPromises(now), "until", r.until().Sub(now))
 			}
 		}
 		if !n.right.CompareAndSwap(old, r) {
 			continue // a renewal came in between
 		}
 		if n.lapsed == 0 && !r.holds() {
-			n.lapsed, n.lapsedAt = r.token, r.until
+			n.lapsed, n.lapsedAt = r.token, r.until()
 		}
 		// Told only while it holds: a renewal's answer that has waited for long may prove a
 		// right that has run out already.
@@ -80,7 +92,7 @@
 			if r == nil || r.token != token {
 				break // it was given up meanwhile, and never comes back
 			}
-			if n.right.CompareAndSwap(r, r.later(until, until)) {
+			if n.right.CompareAndSwap(r, r.renewed(until)) {
 				break
 			}
 		}
