Rehearse: the election played through every course of a few faults

The model's random plays miss what takes several faults in one order. With rehearse election the same code is played breadth first over states that differ: crashes without memory, cuts from the state service and from other members, lost answers, outages, messages and claims held back.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/glentiller/glentiller/internal/rehearse/electionplay"
 	"github.com/glentiller/glentiller/internal/rehearse/ledgerweek"
 )
 
@@ -47,9 +48,35 @@
 	return nil
 }
 
+type electionCmd struct {
+	Members int    `default:"3" help:"Members, from 2 to 5."`
+	Seconds int    `default:"10" help:"Seconds from the moment on at which one leads."`
+	Faults  int    `default:"2" help:"Faults in one course, at the most."`
+	Most    int    `default:"5000000" help:"States that may be looked at."`
+	Break   string `default:"" enum:",cut-short,forgotten,late" help:"A part of the protocol to leave out: cut-short, forgotten or late."`
+}
+
+var errTwo = errors.New("more than one may act, or one with a token of old")
+
+// Run plays every course and tells what was found.
+func (c *electionCmd) Run() error {
+	r, err := electionplay.Play(electionplay.Settings{Members: c.Members, Seconds: c.Seconds, Faults: c.Faults, Most: c.Most, Break: electionplay.Break(c.Break)})
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+		return err
+	}
+	if r.Broken != "" {
+		return errTwo
+	}
+	return nil
+}
+
 func main() {
 	var cli struct {
-		Ledger ledgerCmd `cmd:"" help:"Play a week and compare the ledger with what the stand-ins saw."`
+		Election electionCmd `cmd:"" help:"Play the election through every course that some faults can take."`
+		Ledger   ledgerCmd   `cmd:"" help:"Play a week and compare the ledger with what the stand-ins saw."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("rehearse"), kong.Description("glentiller's rehearsal kit."), kong.UsageOnError())
 	if err := ctx.Run(); err != nil {
--- /dev/null
+++ b/internal/rehearse/electionplay/play.go
@@ -0,0 +1,500 @@
+// Package electionplay plays the election's own code through every course that some troubles can
+// take, in steps of a second, and says where two members may act at once or one with a token of
+// old.
+package electionplay
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"lukechampine.com/blake3"
+
+	"github.com/glentiller/glentiller/internal/election"
+)
+
+// Break leaves a part of the protocol out.
+type Break string
+
+// What can be left out.
+const (
+	Whole     Break = ""
+	CutShort  Break = "cut-short" // members keep a promise for a third of the time
+	Forgotten Break = "forgotten" // what a member has promised is counted on though it restarted without memory, and claims
+	Late      Break = "late"      // promises are taken after the right has lapsed
+)
+
+// Settings say what is played.
+type Settings struct {
+	Members int
+	Seconds int // from the moment on at which one leads by promises
+	Faults  int // at the most, in one course
+	Most    int // states; more are an error
+	Break   Break
+}
+
+// Result is what was found.
+type Result struct {
+	States int    `json:"states"`  // that differ
+	Acting int    `json:"acting"`  // of these, with somebody who may act
+	ByWord int    `json:"by_word"` // on promises alone
+	Claims int    `json:"claims"`  // made on the way
+	Broken string `json:"broken,omitempty"`
+	Course string `json:"course,omitempty"` // that led there
+}
+
+// ErrTooMany says that there are more states than were allowed for.
+var ErrTooMany = errors.New("more states than allowed")
+
+const second = time.Second
+
+var begin = time.Unix(1000, 0)
+
+type member struct {
+	m    *election.Machine
+	up   bool
+	cut  bool // from the state service
+	away bool // from the other members
+	life int
+}
+
+// message is on its way between members, or a claim to the state service.
+type message struct {
+	kind     byte // a question, a promise, u: who leads?, n: not this one, a release, a claim
+	from, to int
+	life     int // of the receiver, which takes nothing that was meant for an earlier one
+	back     int // of the sender
+	sent     time.Time
+	q        election.Question
+	long     time.Duration
+	claim    election.Claim
+}
+
+type state struct {
+	now     time.Time
+	members []member
+	held    []message // by the network
+	faults  int       // left
+	course  string
+
+	down           bool
+	holder         uint64 // lease that holds the leader's key; 0: nobody
+	owner          int
+	token, version uint64
+	leases         map[uint64]int // seconds left
+	next           uint64
+	highest        uint64 // token that anybody was entitled with
+
+	// While a second is played.
+	queue   []message
+	trouble trouble
+	set     *Settings
+	out     *Result
+}
+
+// trouble is what happens within a second. The zero value is none.
+type trouble struct {
+	kind string
+	who  int
+}
+
+func (s *state) names() []string { return []string{"a", "b", "c", "d", "e"}[:len(s.members)] }
+
+func (s *state) birth(i int) *election.Machine {
+	set := election.Settings{Member: s.names()[i], Life: 4 * second, Margin: 200 * time.Millisecond, Look: 2 * second, Retry: second,
+		Promise: 3500 * time.Millisecond, Outage: 7 * second}
+	for j, n := range s.names() {
+		if j != i {
+			set.Others = append(set.Others, n)
+		}
+	}
+	return election.New(s.now, set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+// clone is the same state, which goes its own way.
+func (s *state) clone() *state {
+	out := *s
+	out.members = append([]member(nil), s.members...)
+	for i := range out.members {
+		if out.members[i].up {
+			out.members[i].m = out.members[i].m.Clone()
+		}
+	}
+	out.held = append([]message(nil), s.held...)
+	out.leases = make(map[uint64]int, len(s.leases))
+	for id, left := range s.leases {
+		out.leases[id] = left
+	}
+	return &out
+}
+
+// key tells states apart whose further course may differ.
+func (s *state) key() [32]byte {
+	b := make([]byte, 0, 512)
+	flags := func(fs ...bool) {
+		for _, f := range fs {
+			if f {
+				b = append(b, 1)
+			} else {
+				b = append(b, 0)
+			}
+		}
+	}
+	for i := range s.members {
+		k := &s.members[i]
+		flags(k.up, k.cut, k.away)
+		if k.up {
+			b = k.m.AppendKey(b, s.now)
+		}
+	}
+	flags(s.down)
+	b = append(b, byte(s.faults), byte(s.owner))
+	for _, n := range []uint64{s.holder, s.token, s.version, s.next, s.highest} {
+		b = binary.AppendUvarint(b, n)
+	}
+	for id := uint64(1); id <= s.next; id++ {
+		if left, ok := s.leases[id]; ok {
+			b = append(b, byte(id), byte(left+100))
+		}
+	}
+	for _, m := range s.held {
+		stale := s.members[m.to].life != m.life || s.members[m.from].life != m.back
+		flags(stale)
+		b = append(b, m.kind, byte(m.from), byte(m.to))
+		b = binary.AppendVarint(b, int64(s.now.Sub(m.sent)))
+		b = fmt.Appendf(b, "%v %v %v", m.q, m.long, m.claim)
+	}
+	return blake3.Sum256(b)
+}
+
+// troubles lists what may happen next.
+func (s *state) troubles() []trouble {
+	out := []trouble{{}}
+	if s.down {
+		out = append(out, trouble{"up", 0})
+	} else if s.faults > 0 {
+		out = append(out, trouble{"down", 0})
+	}
+	if len(s.held) > 0 {
+		out = append(out, trouble{"release", 0})
+	}
+	for i := range s.members {
+		k := &s.members[i]
+		if !k.up {
+			out = append(out, trouble{"restart", i})
+		}
+		if k.cut {
+			out = append(out, trouble{"join", i})
+		}
+		if k.away {
+			out = append(out, trouble{"meet", i})
+		}
+		if s.faults == 0 || !k.up {
+			continue
+		}
+		out = append(out, trouble{"crash", i}, trouble{"hold", i})
+		if !k.away {
+			out = append(out, trouble{"part", i})
+		}
+		if !s.down && !k.cut {
+			out = append(out, trouble{"cut", i}, trouble{"mute", i})
+		}
+	}
+	return out
+}
+
+// step plays one second with a trouble in it.
+func (s *state) step(t trouble) {
+	s.now = s.now.Add(second)
+	if !s.down {
+		for id := range s.leases {
+			if s.leases[id]--; s.leases[id] < 0 {
+				s.end(id)
+			}
+		}
+	}
+	s.trouble = t
+	switch t.kind {
+	case "":
+	case "up":
+		s.down = false
+		for id := range s.leases {
+			s.leases[id] = 4 // in full again
+		}
+	case "release":
+		s.queue, s.held = append(s.queue, s.held...), nil
+	case "restart":
+		k := &s.members[t.who]
+		k.up, k.m = true, s.birth(t.who)
+		k.life++
+		if s.set.Break == Forgotten {
+			for i, n := range s.names() {
+				if i != t.who {
+					k.m.Step(s.now, election.Unbound{Member: n, Sent: s.now})
+				}
+			}
+		}
+	case "join":
+		s.members[t.who].cut = false
+	case "meet":
+		s.members[t.who].away = false
+	default:
+		s.faults--
+		switch t.kind {
+		case "down":
+			s.down = true
+		case "crash":
+			s.members[t.who].up = false
+			s.members[t.who].life++
+		case "cut":
+			s.members[t.who].cut = true
+		case "part":
+			s.members[t.who].away = true
+		}
+	}
+	s.deliver()
+	for i := range s.members {
+		s.event(i, s.now, election.Tick{})
+		s.deliver()
+	}
+	if t.kind != "" {
+		s.course += fmt.Sprintf(" %ds:%s %s", s.now.Sub(begin)/second, t.kind, s.names()[t.who])
+	}
+}
+
+func (s *state) end(id uint64) {
+	delete(s.leases, id)
+	if s.holder == id {
+		s.holder = 0
+	}
+}
+
+// deliver carries what is on its way, unless the network holds or loses it.
+func (s *state) deliver() {
+	for n := 0; len(s.queue) > 0 && n < 1000; n++ {
+		m := s.queue[0]
+		s.queue = s.queue[1:]
+		s.take(m)
+	}
+	s.queue = nil
+}
+
+// send puts a message on its way.
+func (s *state) send(m message) {
+	m.life, m.back = s.members[m.to].life, s.members[m.from].life
+	switch {
+	case m.kind != 'c' && (s.members[m.from].away || s.members[m.to].away):
+		return
+	case s.trouble == trouble{"hold", m.from}:
+		if len(s.held) < 6 {
+			s.held = append(s.held, m)
+		}
+		return
+	}
+	s.queue = append(s.queue, m)
+}
+
+func (s *state) take(m message) {
+	k := &s.members[m.to]
+	if m.kind == 'c' {
+		s.claim(m.from, m.claim) // given up by its sender: nobody hears of it
+		return
+	}
+	if !k.up || k.life != m.life {
+		return
+	}
+	answer := message{from: m.to, to: m.from, sent: m.sent, q: m.q}
+	reply := func(kind byte) {
+		if s.members[m.from].life == m.back {
+			answer.kind = kind
+			s.send(answer)
+		}
+	}
+	switch m.kind {
+	case 'a':
+		q := m.q
+		if s.set.Break == CutShort {
+			q.For /= 3
+		}
+		if answer.long = k.m.Promise(s.now, q); answer.long > 0 {
+			if s.set.Break == CutShort {
+				answer.long *= 3
+			}
+			reply('p')
+		}
+	case 'p':
+		now := s.now
+		if s.set.Break == Late {
+			now = begin
+		}
+		s.event(m.to, now, election.PromiseBack{Member: s.names()[m.from], Token: m.q.Token, Sent: m.sent, Seq: m.q.Seq, For: m.long})
+	case 'u':
+		if st := k.m.State(); st != election.Leading && st != election.Claiming {
+			reply('n')
+		}
+	case 'n':
+		s.event(m.to, s.now, election.Unbound{Member: s.names()[m.from], Sent: m.sent})
+	case 'r':
+		k.m.Released(m.q.Token)
+	}
+}
+
+// event hands an event to a member, and carries out what it wants done.
+func (s *state) event(i int, now time.Time, ev election.Event) {
+	k := &s.members[i]
+	if !k.up {
+		return
+	}
+	for _, e := range k.m.Step(now, ev) {
+		s.perform(i, e)
+	}
+}
+
+// reach tells whether a request of a member to the state service is served, and answered.
+func (s *state) reach(i int) (served, answered bool) {
+	served = !s.down && !s.members[i].cut
+	return served, served && s.trouble != trouble{"mute", i}
+}
+
+func (s *state) perform(i int, e election.Effect) {
+	served, answered := s.reach(i)
+	var err error
+	if !answered {
+		err = io.EOF
+	}
+	switch e := e.(type) {
+	case election.Look:
+		s.event(i, s.now, election.Looked{Record: election.Record{Held: s.holder != 0, Leader: s.names()[s.owner], Lease: s.holder, Token: s.token, TokenVersion: s.version}, Err: err})
+	case election.Grant:
+		id := uint64(0)
+		if served {
+			s.next++
+			id = s.next
+			s.leases[id] = int(e.Life / second)
+		}
+		s.event(i, s.now, election.Granted{Lease: id, Sent: s.now, Err: err})
+	case election.Claim:
+		s.out.Claims++
+		ok := false
+		if s.trouble == (trouble{"hold", i}) {
+			s.send(message{kind: 'c', from: i, to: i, claim: e})
+		} else if served {
+			ok = s.claim(i, e)
+		}
+		s.event(i, s.now, election.Claimed{OK: ok && answered, Version: s.version, Err: err})
+	case election.Touch:
+		_, lives := s.leases[e.Lease]
+		if served && lives {
+			s.leases[e.Lease] = 4
+		}
+		s.event(i, s.now, election.Touched{Lease: e.Lease, Sent: s.now, Lost: answered && !lives, Err: err})
+	case election.Drop:
+		if served {
+			s.end(e.Lease)
+		}
+	case election.AskPromises:
+		s.tell(i, message{kind: 'a', q: election.Question{Leader: s.names()[i], Token: e.Token, Seq: e.Seq, For: e.For, Instead: e.Instead}})
+	case election.AskUnbound:
+		s.tell(i, message{kind: 'u'})
+	case election.Release:
+		s.tell(i, message{kind: 'r', q: election.Question{Token: e.Token}})
+	}
+}
+
+func (s *state) claim(i int, c election.Claim) bool {
+	if _, lives := s.leases[c.Lease]; s.down || s.holder != 0 || s.version != c.TokenVersion || !lives {
+		return false
+	}
+	s.holder, s.owner, s.token = c.Lease, i, c.Token
+	s.version++
+	return true
+}
+
+// tell sends a message to all others.
+func (s *state) tell(i int, m message) {
+	m.from, m.sent = i, s.now
+	for j := range s.members {
+		if j != i {
+			m.to = j
+			s.send(m)
+		}
+	}
+}
+
+// check looks who may act, now and until the next step.
+func (s *state) check() (acting, byWord bool, broken string) {
+	for _, after := range []time.Duration{0, 350 * time.Millisecond, 900 * time.Millisecond} {
+		now, n := s.now.Add(after), 0
+		for i := range s.members {
+			k := &s.members[i]
+			if !k.up || !k.m.Entitled(now) {
+				continue
+			}
+			n++
+			if k.m.Token() < s.highest {
+				return true, false, fmt.Sprintf("%s may act with token %d, after %d", s.names()[i], k.m.Token(), s.highest)
+			}
+			s.highest = k.m.Token()
+			byWord = byWord || !now.Before(k.m.LeaseUntil())
+		}
+		if acting = acting || n > 0; n > 1 {
+			return true, byWord, fmt.Sprintf("%d members may act", n)
+		}
+	}
+	return acting, byWord, ""
+}
+
+// Play plays all courses, breadth first over states that differ, until one breaks something.
+func Play(set Settings) (Result, error) {
+	if set.Members < 2 || set.Members > 5 || set.Seconds < 1 || set.Faults < 0 {
+		return Result{}, errors.New("two to five members, a second or more")
+	}
+	var out Result
+	s := &state{now: begin, leases: map[uint64]int{}, set: &set, out: &out, faults: set.Faults, members: make([]member, set.Members)}
+	for i := range s.members {
+		s.members[i] = member{m: s.birth(i), up: true}
+	}
+	for range 12 { // somebody leads, and was promised the right
+		s.step(trouble{})
+	}
+	if acting, _, _ := s.check(); !acting {
+		return out, errors.New("nobody leads without any trouble")
+	}
+	begun := s.now
+	frontier := []*state{s}
+	seen := map[[32]byte]struct{}{}
+	for sec := 1; sec <= set.Seconds; sec++ {
+		var next []*state
+		for _, from := range frontier {
+			for _, t := range from.troubles() {
+				to := from.clone()
+				to.step(t)
+				acting, byWord, broken := to.check()
+				if broken != "" {
+					out.Broken, out.Course = fmt.Sprintf("after %d s: %s", to.now.Sub(begun)/second, broken), to.course
+					return out, nil
+				}
+				k := to.key()
+				if _, known := seen[k]; known {
+					continue
+				}
+				seen[k] = struct{}{}
+				if out.States++; out.States > set.Most {
+					return out, fmt.Errorf("%w: in second %d", ErrTooMany, sec)
+				}
+				if acting {
+					out.Acting++
+				}
+				if byWord {
+					out.ByWord++
+				}
+				next = append(next, to)
+			}
+		}
+		frontier = next
+	}
+	return out, nil
+}
