--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -176,6 +176,7 @@
 	Flush             Duration `xml:"flush"`
 	PreemptGuarantees bool     `xml:"preempt-for-guarantees"`
 	PreemptMost       int      `xml:"preempt-most"`
+	StartMost         int      `xml:"start-most"`
 	MinRun            Duration `xml:"min-run"`
 	ImageFirst        bool     `xml:"production-image-first"`
 	Tight             Duration `xml:"tight"`
@@ -389,6 +390,7 @@
 	span("scheduler/tight", o.Scheduler.Tight, 0, 24*time.Hour)
 	span("scheduler/pass", o.Scheduler.Pass, time.Millisecond, 10*time.Second)
 	span("scheduler/flush", o.Scheduler.Flush, 10*time.Millisecond, 2*time.Second)
+	number("scheduler/start-most", float64(o.Scheduler.StartMost), 0, 1_000_000)
 	number("scheduler/preempt-most", float64(o.Scheduler.PreemptMost), 0, 10_000)
 	span("scheduler/min-run", o.Scheduler.MinRun, 0, time.Hour)
 	span("scheduler/backoff", o.Scheduler.Backoff, 100*time.Millisecond, time.Hour)
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -48,6 +48,12 @@
 			c.halt(now, v.Attempt)
 		}
 	}
+	if plan.More {
+		// The rest comes with the next pass, right after what has come in meanwhile. What would be
+		// lacking then is not known yet: nothing is rented for it.
+		c.dirty = true
+		return
+	}
 	c.waits(now, plan.Lacking)
 	c.rent(now, plan.Lacking)
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -19,6 +19,7 @@
 	Overtake      time.Duration // a task without deadline passes ahead after waiting this long
 	OvertakeLate  time.Duration // and one that can meet no date any more, after this long
 	MaxPreempt    int           // attempts that one pass may stop to make room
+	StartMost     int           // tasks that one pass starts, but for gangs and services, which go whole; 0: any number
 	MinRun        time.Duration // an attempt younger than this is stopped last
 	Dear          float64       // a machine whose CPUs cost this many times the cheapest ones is dear: no place for services
 	ImageFirst    bool          // production goes where its image is before anything else
@@ -158,6 +159,7 @@
 	Place   []Placement
 	Stop    []Stop
 	Lacking []Shortage
+	More    bool // the pass had its fill: what comes after in the order was not looked at
 }
 
 // Picture is what a pass decides from.
@@ -422,6 +424,10 @@
 	stops := s.MaxPreempt
 	var done served
 	for _, w := range p.Wants {
+		if s.StartMost > 0 && len(plan.Place) >= s.StartMost {
+			plan.More = true
+			break
+		}
 		spec := w.Job.Spec
 		n := min(w.Count, w.Cap)
 		team := p.Teams[spec.Team]
@@ -448,6 +454,11 @@
 			plan.Lacking = append(plan.Lacking, Shortage{w, w.Count, limited, WhyLimit})
 			continue
 		}
+		later := 0
+		if s.StartMost > 0 && spec.Shape == model.Array {
+			later = max(n-(s.StartMost-len(plan.Place)), 0)
+			n -= later
+		}
 		lack := n
 		if w.tier() == 0 && s.ImageFirst {
 			// Users wait for production: a machine that has the image, even one
@@ -467,7 +478,10 @@
 			p.preempt(plan, w, lack, &stops, stage{})
 		}
 		if lack > 0 {
-			plan.Lacking = append(plan.Lacking, Shortage{w, lack, false, done.why(w)})
+			plan.Lacking = append(plan.Lacking, Shortage{w, lack + later, false, done.why(w)})
+		} else if later > 0 {
+			plan.More = true
+			break
 		}
 		if lack < n || w.tier() < tierRest {
 			done.note(w)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -66,6 +66,33 @@
 	return out
 }
 
+// Much has to be started again: a pass starts a step of it, what goes first first, gangs whole, and
+// says that there is more. What lacks room is said of all of its tasks.
+func TestAPassStartsAStepAtATime(t *testing.T) {
+	steps := *set
+	steps.StartMost = 4
+	var nodes []*Node
+	for i := range 8 {
+		nodes = append(nodes, node(fmt.Sprint("n", i), "a", cheap, 0))
+	}
+	gang := want("gang", 5, func(s *model.Spec) { s.Shape, s.Rank = model.Gang, model.High })
+	arrays := want("array", 9, nil)
+	p := picture(nodes, arrays, gang)
+	plan := Make(&steps, p)
+	if len(plan.Place) != 5 || plan.Place[0].Want != gang || !plan.More || len(plan.Lacking) != 0 {
+		t.Fatalf("first pass: %s, more %v, lacking %v", placed(plan), plan.More, plan.Lacking)
+	}
+	p.Wants = []*Want{arrays}
+	if plan = Make(&steps, p); len(plan.Place) != 4 || !plan.More {
+		t.Fatalf("second pass: %s, more %v", placed(plan), plan.More)
+	}
+	p = picture(nodes[:1], want("array", 9, nil))
+	p.Nodes[0].Free = cheap.Cap
+	if plan = Make(&steps, p); len(plan.Place) != 2 || plan.More || plan.Lacking[0].Count != 7 {
+		t.Errorf("short of room: %s, more %v, lacking %v", placed(plan), plan.More, plan.Lacking)
+	}
+}
+
 // A fuller machine does more work per power, up to 1 when it is full.
 func TestEfficiencyGrowsWithTheBusyShare(t *testing.T) {
 	last := Efficiency(0, 0.7)
