A member with all the handed requests that it takes refuses the next one at once

It dropped them without a word, as it does with relayed reports: a user then waited 0.45 to 0.7 s for nothing before another member was asked. Now the refusal says that it is busy, which is no failure to the breaker. A story sends five more than a connection takes.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/glentiller/glentiller/internal/peer/peerpb"
+	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/rpc"
 )
 
@@ -87,7 +88,17 @@
 			select {
 			case room <- struct{}{}:
 			default:
-				continue // the other side's wait runs out; it tries again
+				if e.GetHand() == nil {
+					continue // the other side's wait runs out; it tries again
+				}
+				// A user waits: the other side has it answered elsewhere, or sends the user away.
+				mu.Lock()
+				err := write(c, &peerpb.Envelope{Id: e.GetId(), Body: &peerpb.Envelope_HandAnswer{HandAnswer: &peerpb.HandAnswer{Cause: uint32(route.Busy)}}})
+				mu.Unlock()
+				if err != nil {
+					return
+				}
+				continue
 			}
 			go func() {
 				defer func() { <-room }()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/glentiller/glentiller/internal/peer/peerpb"
+	"github.com/glentiller/glentiller/internal/route"
 )
 
 // leader answers relayed reports, and notes what it is told.
@@ -113,3 +114,38 @@
 		t.Errorf("got %v", a)
 	}
 }
+
+// A member with as many requests as it takes over one connection refuses the next one at once; and
+// a request that is not answered costs the others on its connection nothing.
+func TestAHandedRequestTooManyIsRefusedAtOnce(t *testing.T) {
+	_, addr := start(t)
+	c := NewClient(addr, nil)
+	if a, err := c.Hand(t.Context(), &peerpb.Hand{Body: []byte("it")}); err != nil || string(a.GetBody()) != "took it" {
+		t.Fatalf("got %v, %v", a, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const more = 5
+	refused, ended := make(chan uint32, maxRelays+more), make(chan error, maxRelays+more)
+	for range maxRelays + more {
+		go func() {
+			a, err := c.Hand(ctx, &peerpb.Hand{Id: "hang"})
+			if err == nil {
+				refused <- a.GetCause()
+			} else {
+				ended <- err
+			}
+		}()
+	}
+	for range more {
+		if cause := <-refused; route.Cause(cause) != route.Busy {
+			t.Errorf("one too many: cause %d", cause)
+		}
+	}
+	cancel()
+	for range maxRelays {
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("one that was given up: %v", err)
+		}
+	}
+}
