--- a/cmd/glentiller/member.go
+++ b/cmd/glentiller/member.go
@@ -63,7 +63,11 @@
 			fmt.Printf("  by %s: %s\n", o, r.Members[o])
 		}
 		for _, k := range slices.Sorted(maps.Keys(r.Limits)) {
-			fmt.Printf("  %-7s %d of %d at once, asked elsewhere too after %d ms\n", k, r.Inside[k], r.Limits[k], r.Hedge[k])
+			fmt.Printf("  %-7s %d of %d at once", k, r.Inside[k], r.Limits[k])
+			if r.Hedge[k] > 0 {
+				fmt.Printf(", asked elsewhere too after %d ms", r.Hedge[k])
+			}
+			fmt.Println()
 		}
 		n := r.Counts
 		fmt.Printf("  %d begun here, %d handed over (%d hedged, %d again), %d taken for others; %d users sent away, %d at the limit, %d without a second attempt\n",
--- a/internal/front/away.go
+++ b/internal/front/away.go
@@ -22,7 +22,7 @@
 func (s *Server) away(q route.Request, elsewhere bool) route.Answer {
 	wait := waitOf(q.Kind)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	if v := s.jobs.Peek(q.ID); s.set.Router == nil || v.State.Ended() {
+	if s.set.Router == nil || s.jobs.Peek(q.ID).State.Ended() {
 		defer cancel()
 		return s.here(ctx, q) // an end that is known needs nobody
 	}
@@ -49,7 +49,7 @@
 			}
 		}()
 	}
-	timer := time.NewTimer(time.Until(t.Wake()))
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		switch {
@@ -109,7 +109,9 @@
 	if q.Kind == route.Submit {
 		id, why := malformedBody(q.Body)
 		if why != "" {
-			return refused(fasthttp.StatusBadRequest, why)
+			// Where it came it was well formed: the versions differ. Guards against a job that
+			// another version has accepted, and that is called malformed here.
+			return not(route.Unready, why)
 		}
 		q.ID = id
 	}
--- a/internal/route/breaker.go
+++ b/internal/route/breaker.go
@@ -78,6 +78,6 @@
 // sent.
 func (b *breaker) cancel() {
 	if b.state == Probing {
-		b.state = Open // since and pause stay: it is due
+		b.to(Open, b.since.Add(-b.pause)) // it is due
 	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -270,8 +270,11 @@
 	return s
 }
 
-// hedge is how long a request may wait here before another member is asked too.
+// hedge is how long a request may wait here before another member is asked too; 0: for ever.
 func (r *Router) hedge(k Kind) time.Duration {
+	if r.set.Hedge == 0 {
+		return 0
+	}
 	least := r.set.Hedge
 	if k != Poll {
 		least = max(least, writeHold)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -65,6 +65,14 @@
 	if _, m = r.begin(at(141*time.Millisecond), Submit); !m.Here {
 		t.Errorf("after the probe: %+v", m)
 	}
+	// A probe that says nothing of the way costs no further pause.
+	b := breaker{state: Open, since: start, pause: time.Second}
+	if !b.allows(at(time.Second), time.Time{}) || b.allows(at(time.Second), time.Time{}) {
+		t.Error("not one probe when the pause is over")
+	}
+	if b.cancel(); !b.allows(at(time.Second), time.Time{}) {
+		t.Error("no probe after one that was taken back")
+	}
 }
 
 // Everybody is without the state service: users hear so at once, and members do not make
--- a/internal/route/trip.go
+++ b/internal/route/trip.go
@@ -53,8 +53,8 @@
 		t.here = now
 		t.to(Here)
 		t.wake = t.sooner(until)
-		if r.set.Hedge > 0 {
-			t.wake = t.sooner(now.Add(r.hedge(q.Kind)))
+		if wait := r.hedge(q.Kind); wait > 0 {
+			t.wake = t.sooner(now.Add(wait))
 		}
 		return t, Move{Here: true}
 	}
