A controller cut off from everybody says so, and keeps no worker waiting

Cause: a member that lost the state service and the other members kept its third of users for as long as the cut; reports that reached it waited for a batch that it could not write.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	types    atomic.Pointer[[]model.MachineType]
 	progress atomic.Pointer[map[string][2]int]
 
+	company     route.Company
 	heard       atomic.Pointer[heard]
 	leaderSince atomic.Pointer[time.Time] // when the present leader became known
 }
@@ -181,6 +182,9 @@
 	})
 	n.group.Go(func() error { return n.tellProgress() })
 	n.group.Go(func() error { return n.weigh() })
+	if len(n.peers) > 0 {
+		n.group.Go(n.keepCompany)
+	}
 	n.group.Go(func() error { return n.loop() })
 	n.group.Go(func() error { return n.jobs.Run(n.ctx) })
 	n.group.Go(func() error { return n.watchLeader() })
@@ -783,10 +787,13 @@
 // service it cannot, but if that is out for all, there is nobody to send users to
 // instead. So it only counts itself out while it hears a leader, whose right to
 // act shows that the state service answers others. In an outage for all that
-// right lapses before this controller has been without for long enough.
+// right lapses before this controller has been without for long enough. One that reaches no
+// other member either counts itself out too: guards against users who stay for as long as the cut
+// with the one controller that can do nothing for them. If all are apart and the state service is
+// out, that costs about two probes after the outage, in which nobody could be served anyway.
 func (n *Node) Healthy() bool {
 	now := time.Now()
-	if !n.jobs.Loaded() || len(n.Types()) == 0 {
+	if !n.jobs.Loaded() || len(n.Types()) == 0 || n.alone() {
 		return false
 	}
 	// A leader that acts on promises alone shows nothing of the kind.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -39,6 +39,7 @@
 	backSoon  = 10 * time.Second // a worker that is back so soon did not reach it
 	longTime  = 45 * time.Second // then it is sent again, to try
 	relayWait = 1500 * time.Millisecond
+	postless  = time.Second // without the state service nothing is handed over by way of it
 )
 
 // to changes the state; it is the only place that does.
@@ -86,8 +87,14 @@
 // it. Workers take an answer with the leader's token from any controller.
 func (n *Node) Relay(ctx context.Context, machine string, report []byte) ([]byte, bool) {
 	leader := n.leader.Load()
-	if n.mail != nil && (leader == nil || *leader == "") && n.mail.open() {
-		return n.mail.send(ctx, report) // to whoever will lead
+	mail := n.mail
+	if n.state.Down(time.Now()) > postless {
+		// Guards against workers that spend their leases here: what this member cannot write nobody
+		// will answer, and they had better ask another one at once.
+		mail = nil
+	}
+	if mail != nil && (leader == nil || *leader == "") && mail.open() {
+		return mail.send(ctx, report) // to whoever will lead
 	}
 	if leader == nil || n.peers[*leader] == nil {
 		return nil, false
@@ -95,14 +102,14 @@
 	now := time.Now()
 	h := n.heard.Load()
 	// A leader that is new here may be out of reach: its workers are not sent to it blindly.
-	unheard := n.mail != nil && (h == nil || h.leader != *leader || now.Sub(h.at) >= outOfReach)
+	unheard := mail != nil && (h == nil || h.leader != *leader || now.Sub(h.at) >= outOfReach)
 	far := n.redirect(*leader, now) == ""
 	switch {
-	case far && n.mail == nil:
+	case far && mail == nil:
 		return nil, false
-	case far, unheard && n.mail.open():
+	case far, unheard && mail.open():
 		// Out of this member's reach, and so likely out of its worker's.
-		return n.mail.send(ctx, report)
+		return mail.send(ctx, report)
 	case !unheard && !n.relays.due(machine, now):
 		return nil, false
 	}
@@ -114,7 +121,7 @@
 		return a.GetBody(), true
 	case err != nil && unheard:
 		// Nor is it reached: what is left of the worker's lease may not last until it counts as silent.
-		return n.mail.send(ctx, report)
+		return mail.send(ctx, report)
 	}
 	n.relays.failed(machine)
 	return nil, false
