Every job begins: one task of an array, gangs whole, room kept for them

Wide gangs waited beside narrow ones that took each machine as it became free. Nothing is stopped.

A report that is rare by the settings is no gap any more.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -207,6 +207,7 @@
 	Consolidate       Duration `xml:"consolidate"`
 	FetchInTime       bool     `xml:"fetch-in-time"`
 	Vacate            bool     `xml:"vacate"`
+	BeginWithin       Duration `xml:"begin-within"`
 	Backoff           Duration `xml:"backoff"`
 	BackoffMost       Duration `xml:"backoff-most"`
 	strict
@@ -424,6 +425,7 @@
 	number("scheduler/start-most", float64(o.Scheduler.StartMost), 0, 1_000_000)
 	number("scheduler/preempt-most", float64(o.Scheduler.PreemptMost), 0, 10_000)
 	span("scheduler/min-run", o.Scheduler.MinRun, 0, time.Hour)
+	span("scheduler/begin-within", o.Scheduler.BeginWithin, 0, 24*time.Hour)
 	span("scheduler/backoff", o.Scheduler.Backoff, 100*time.Millisecond, time.Hour)
 	span("scheduler/backoff-most", o.Scheduler.BackoffMost, o.Scheduler.Backoff.D(), 24*time.Hour)
 	span("fleet/keep-idle", o.Fleet.KeepIdle, 0, 24*time.Hour)
--- a/internal/control/hearing.go
+++ b/internal/control/hearing.go
@@ -23,7 +23,7 @@
 const (
 	mostAsked  = 32              // questions that are out, at the most
 	doubtEvery = 2 * time.Second // between questions to a machine in doubt
-	dropped    = 4 * time.Second // workers drop answers that come later, by the protocol
+	dropped    = 4 * time.Second // workers drop answers that come later, by the protocol; reports are a quarter late at most
 )
 
 // listen looks after a machine in doubt: it is asked again, and replaced if that lasts.
@@ -80,13 +80,14 @@
 
 // hearingMoved tells of a change of a machine's hearing, and counts those in doubt.
 func (c *Core) hearingMoved(m *model.Machine) {
-	if m.Ear.State >= hearing.Doubtful {
+	was, is := c.inDoubtOf[m], m.Ear.State >= hearing.Doubtful
+	if is {
 		c.inDoubtOf[m] = true
 	} else {
 		delete(c.inDoubtOf, m)
 	}
-	c.dirty = true
-	if m.Ear.State != hearing.Asked {
+	if was || is {
+		c.dirty = true
 		c.log.Info("hearing", "machine", m.Name, "is", m.Ear.State.String(), "why", m.Ear.Why, "holding", m.Holding, "in_doubt", len(c.inDoubtOf))
 	}
 }
--- a/internal/hearing/ear.go
+++ b/internal/hearing/ear.go
@@ -18,7 +18,7 @@
 // Settings are the times that hearing goes by.
 type Settings struct {
 	Lease   time.Duration // of the workers
-	Drop    time.Duration // a worker drops answers that come later
+	Gap     time.Duration // between two reports that shows that its worker has waited for an answer in vain
 	Replace time.Duration // a doubtful machine on which nothing is known to run is deaf after this
 }
 
@@ -90,7 +90,7 @@
 		return e.Suspect(now, "it lacks what it was told")
 	case s.Session && known && gap < lease:
 		return e.Suspect(now, "its lease has run out although its reports were answered")
-	case known && gap >= set.Drop && gap < lease && !s.Quiet:
+	case known && gap >= set.Gap && gap < lease && !s.Quiet:
 		return e.Suspect(now, "it seems to have waited for an answer in vain")
 	case !s.Session && e.State == Doubtful && now.Sub(e.Since) > lease+lease/8:
 		return e.Prove(now, "its session has outlived the doubt by a lease")
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -160,6 +160,9 @@
 	return j.counts[TaskNew] + j.counts[TaskRestart] + j.counts[TaskYielded]
 }
 
+// Begun tells whether any task of it was ever started, as far as is known.
+func (j *Job) Begun() bool { return j.counts[TaskNew] < len(j.tasks) }
+
 // Unfinished is the number of tasks that are not done.
 func (j *Job) Unfinished() int { return len(j.tasks) - j.counts[TaskDone] }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -26,6 +26,7 @@
 	Tight         time.Duration // with less slack than this, lower work of the same team makes way inside the team's limit
 	FetchInTime   bool          // without its image anywhere, production goes first where the fetch is in time for its date
 	Vacate        bool          // empty machines whose replicas fit on busier ones
+	BeginWithin   time.Duration // every job is to begin within this, as far as limits and machines allow it; 0: each waits its turn
 	PreemptWithin bool          // preempt for guarantees, not only for production
 }
 
@@ -79,6 +80,7 @@
 	Cap        int            // how many may be started in this pass, by what else limits them
 	Rules      *Rules         // where its job may run and would like to; nil: it has no rules
 	Band       int            // its team's band by fair share; it counts only beyond guarantees
+	Begins     bool           // nothing of its job has begun for long, and this is its beginning
 
 	at standing
 }
@@ -219,7 +221,8 @@
 
 // The lanes of the design's order inside a tier.
 const (
-	laneOvertake = iota // waited so long that it passes ahead
+	laneBegin    = iota // nothing of its job has begun for long
+	laneOvertake        // waited so long that it passes ahead
 	laneSlack           // can still meet a date: by rising slack
 	laneAge             // has no date: by age
 	laneLate            // can meet no date any more
@@ -231,6 +234,8 @@
 // to start or to finish in some time have a date too.
 func (w *Want) lane(s *Settings) int {
 	switch {
+	case w.Begins:
+		return laneBegin
 	case !w.Due && w.Waited >= s.Overtake, w.Due && w.Waited >= s.OvertakeLate:
 		return laneOvertake
 	case !w.Due:
@@ -251,7 +256,11 @@
 }
 
 func (w *Want) standing(s *Settings) standing {
-	return standing{w.tier(), beyond(w.tier(), w.Band), w.lane(s), w.Restart, w.Slack, w.Waited, w.Job.Rank}
+	tier := w.tier()
+	if w.Begins {
+		tier = min(tier, tierGuaranteed) // in the order only: it stops nobody for it
+	}
+	return standing{tier, beyond(tier, w.Band), w.lane(s), w.Restart, w.Slack, w.Waited, w.Job.Rank}
 }
 
 // beyond is a band where it counts: only in what goes beyond guarantees.
@@ -317,6 +326,9 @@
 // Guards against low work without a date that, once it has waited, keeps work of a
 // higher rank from ever meeting one.
 func overtake(tier []*Want) {
+	for len(tier) > 0 && tier[0].at.lane == laneBegin {
+		tier = tier[1:]
+	}
 	n := 0
 	for n < len(tier) && tier[n].at.lane == laneOvertake {
 		n++
@@ -422,8 +434,9 @@
 // Make decides one pass.
 func Make(s *Settings, p *Picture) *Plan {
 	plan := &Plan{}
+	p.Wants = split(s, p.Wants)
 	Order(s, p.Wants)
-	stops := s.MaxPreempt
+	stops, holds := s.MaxPreempt, 0
 	var done served
 	for _, w := range p.Wants {
 		if s.StartMost > 0 && len(plan.Place) >= s.StartMost {
@@ -443,7 +456,7 @@
 			p.yield(plan, w, n, room, &stops)
 		}
 		if spec.Shape != model.Array && limited && w.Count == spec.Tasks {
-			if yields {
+			if yields || w.Begins {
 				// It waits to start whole: what it has already is kept for it.
 				p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(room))
 			}
@@ -452,6 +465,10 @@
 		}
 		n = min(n, room)
 		if n <= 0 {
+			if w.Begins && limited {
+				// So that smaller tasks of its team do not take the room bit by bit.
+				p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need)
+			}
 			plan.Lacking = append(plan.Lacking, Shortage{w, w.Count, limited, WhyLimit})
 			continue
 		}
@@ -482,6 +499,9 @@
 		if lack > 0 && (w.tier() == 0 || s.PreemptWithin && w.tier() == 1) {
 			p.preempt(plan, w, lack, &stops, stage{})
 		}
+		if lack > 0 && w.Begins && holds < mostHolds && p.hold(w, lack) {
+			holds++
+		}
 		if lack > 0 {
 			plan.Lacking = append(plan.Lacking, Shortage{w, lack + later, false, done.why(w)})
 		} else if later > 0 {
