--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/glentiller/glentiller/internal/rehearse/electionplay"
 	"github.com/glentiller/glentiller/internal/rehearse/ledgerweek"
+	"github.com/glentiller/glentiller/internal/rehearse/troubles"
 )
 
 type ledgerCmd struct {
@@ -74,8 +75,37 @@
 	return nil
 }
 
+type troublesCmd struct {
+	Machines int    `default:"100" help:"Machines at the start, from 10 to 2000."`
+	Runs     int    `default:"20" help:"Runs, each with a seed of its own."`
+	Seed     uint64 `default:"1" help:"Of the first run."`
+	AtOnce   int    `default:"4" help:"Runs that are played at once."`
+	JSON     bool   `help:"Only the result, as one JSON object."`
+}
+
+var errTroubles = errors.New("a rule was broken, or a job forgotten")
+
+// Run plays and tells what was found.
+func (c *troublesCmd) Run() error {
+	if c.Machines < 10 || c.Machines > 2000 || c.Runs < 1 || c.AtOnce < 1 {
+		return errors.New("--machines: from 10 to 2000; --runs, --at-once: from 1 on")
+	}
+	r := troubles.Play(c.Machines, c.Runs, c.Seed, c.AtOnce)
+	if !c.JSON {
+		fmt.Printf("%d runs with %d machines: %d rules broken, %d jobs forgotten, %d tasks killed by their lease\n", r.Runs, c.Machines, r.Broken, r.Forgotten, r.Killed)
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+		return err
+	}
+	if !r.Good() {
+		return errTroubles
+	}
+	return nil
+}
+
 func main() {
 	var cli struct {
+		Troubles troublesCmd `cmd:"" help:"Play machines that do not hear, late copies, members cut off and lives a blink apart."`
 		Election electionCmd `cmd:"" help:"Play the election through every course that some faults can take."`
 		Ledger   ledgerCmd   `cmd:"" help:"Play a week and compare the ledger with what the stand-ins saw."`
 	}
--- a/internal/control/hearing.go
+++ b/internal/control/hearing.go
@@ -141,3 +141,11 @@
 func (c *Core) quietNow(now time.Time, zone string) bool {
 	return now.Sub(c.quietAt[zone]) < c.set.Lease || now.Sub(c.quietAt[anyZone]) < c.set.Lease
 }
+
+// Hearing tells whether a machine hears this leader, as far as it knows.
+func (c *Core) Hearing(machine string) hearing.State {
+	if m := c.machines[machine]; m != nil {
+		return m.Ear.State
+	}
+	return hearing.Hears
+}
--- a/internal/fake/copies_test.go
+++ b/internal/fake/copies_test.go
@@ -41,7 +41,7 @@
 		w.full = true // what makes way on one machine starts on another
 		w.Copies = 200
 		worker := func(r *rapid.T) *Worker {
-			if names := w.names(); len(names) > 0 {
+			if names := w.Names(); len(names) > 0 {
 				return w.Workers[rapid.SampledFrom(names).Draw(r, "worker")]
 			}
 			return &Worker{} // all were given back
--- a/internal/fake/fleet_test.go
+++ b/internal/fake/fleet_test.go
@@ -56,7 +56,7 @@
 			w.now = w.now.Add(w.Tick)
 		}
 		b.StartTimer()
-		for i, name := range w.names() {
+		for i, name := range w.Names() {
 			l.Core.Step(w.now, control.ReportIn{Report: w.Workers[name].report()})
 			if i%200 == 199 {
 				w.now = w.now.Add(100 * time.Millisecond)
@@ -85,7 +85,7 @@
 		w.State.SetDown(false)
 	}
 	cut := func(w *World, one int, cut bool) {
-		for i, n := range w.names() {
+		for i, n := range w.Names() {
 			if i%one == 0 {
 				w.Workers[n].Cut = cut
 			}
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -446,7 +446,7 @@
 			until(t, w, 60*second, "runs", func() bool { return on(w, s) == 3 })
 			w.Pass(2 * second)
 		}
-		for _, n := range w.names() {
+		for _, n := range w.Names() {
 			if k := w.Workers[n]; len(k.Tasks) > 0 {
 				k.Cut = true
 				break
@@ -637,7 +637,7 @@
 	s := job(model.Array, 16, nil) // the team's limit lets eight of them run at once
 	submit(t, w, s)
 	until(t, w, 5*second, "the first half is on machines", func() bool { return on(w, s) == 8 })
-	for _, name := range w.names() {
+	for _, name := range w.Names() {
 		if k := w.Workers[name]; len(k.Tasks) == 0 {
 			k.Cut = true
 			break
@@ -691,7 +691,7 @@
 	submit(t, w, s)
 	until(t, w, 20*second, "runs", func() bool { return on(w, s) == 8 })
 	var zone []*Worker
-	for _, name := range w.names() {
+	for _, name := range w.Names() {
 		if k := w.Workers[name]; k.Zone == "a" {
 			k.Cut = true
 			zone = append(zone, k)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -139,6 +139,11 @@
 	now := k.w.now
 	if now.Sub(k.renewed) > k.w.Lease {
 		k.Session++
+		for _, t := range k.Tasks {
+			if t.On() {
+				k.w.Killed++
+			}
+		}
 		k.Tasks = map[model.AttemptKey]*Task{}
 		k.renewed, k.changed = now, true
 	}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -53,6 +53,7 @@
 	CloudFull bool // returns wait in the cloud's queue until this ends
 	Returns   int  // requests to return machines
 	Commands  int  // requests straight to workers
+	Killed    int  // tasks that ended with their worker's lease
 	queue     []func()
 	rented    map[string][]string
 	booting   map[string]bootingMachine
@@ -256,7 +257,7 @@
 		for _, c := range w.Controllers {
 			c.step()
 		}
-		for _, name := range w.names() {
+		for _, name := range w.Names() {
 			if k := w.Workers[name]; k != nil {
 				k.step()
 			}
@@ -274,7 +275,8 @@
 	}
 }
 
-func (w *World) names() []string {
+// Names lists the machines that are up, in order.
+func (w *World) Names() []string {
 	var names []string
 	for n := range w.Workers {
 		names = append(names, n)
@@ -341,7 +343,7 @@
 // On lists the machines that a task is on.
 func (w *World) On(t model.TaskID) []string {
 	var on []string
-	for _, n := range w.names() {
+	for _, n := range w.Names() {
 		for _, x := range w.Workers[n].Tasks {
 			if x.ID == t && x.On() {
 				on = append(on, n)
@@ -356,7 +358,7 @@
 	on := map[model.TaskID]string{}
 	used := map[string]model.Resources{}
 	zones := map[string]map[string]int{}
-	for _, n := range w.names() {
+	for _, n := range w.Names() {
 		k := w.Workers[n]
 		for _, t := range k.Tasks {
 			if !t.On() {
@@ -724,7 +726,7 @@
 		w.drain()
 	case control.List:
 		var list []model.Listed
-		for _, n := range w.names() {
+		for _, n := range w.Names() {
 			k := w.Workers[n]
 			list = append(list, model.Listed{Machine: n, Addr: n, Type: k.Type, Zone: k.Zone, Spot: k.Spot})
 		}
