Rows of ended attempts outlive repeats of the launches that went straight

Need: the operators expect repeats of requests that were carried out. A launch that went straight to its worker and was answered could be repeated after its row was forgotten, and start a stopped task beside its next start. Rows stay for three leases, 64 a machine at most.

--- a/internal/control/hearing_test.go
+++ b/internal/control/hearing_test.go
@@ -283,3 +283,38 @@
 		}
 	}
 }
+
+// A launch that went straight to a worker, and was answered, may be repeated by the network: the row
+// of what was stopped stays for three leases, so that the repeat finds it.
+func TestRowsOutliveRepeatsOfTheirLaunches(t *testing.T) {
+	k := talks(t, &Snapshot{})
+	k.up("n-1")
+	_, task := k.job("wk-1")
+	k.step(0, CommandBack{Machine: "n-1", Session: 1, Orders: []model.Order{{Op: model.OpLaunch, Task: task.Task, Try: task.Try}}, Outcome: OK, Report: says("n-1", 1, 30, 1, task)})
+	exited := func(seq uint64) *model.Report {
+		r := says("n-1", 1, seq, 1, task)
+		r.Tasks[0].Phase, r.Tasks[0].Cause = model.Exited, model.CauseError
+		return r
+	}
+	forgets := func() bool {
+		for _, e := range k.out {
+			if a, ok := e.(Answer); ok {
+				for _, o := range a.Orders {
+					if o.Op == model.OpForget && o.Try == task.Try {
+						return true
+					}
+				}
+			}
+		}
+		return false
+	}
+	seq := uint64(40)
+	for end := k.now.Add(34 * time.Second); k.now.Before(end); seq++ {
+		if k.report(2*time.Second, exited(seq)); forgets() {
+			t.Fatal("forgotten while its launch may be repeated")
+		}
+	}
+	if k.report(4*time.Second, exited(seq)); !forgets() {
+		t.Error("kept for ever")
+	}
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -18,7 +18,7 @@
 		if out = c.order1(out, a); len(out) > n && a.Carried == (hearing.Mark{}) {
 			a.Carried = m.Reported()
 		}
-		if a.State == model.Ended && c.forgettable(a) {
+		if a.State == model.Ended && c.forgettable(now, a) {
 			out = append(out, model.Order{Op: model.OpForget, Task: a.Task, Try: a.Try})
 		}
 	}
@@ -28,6 +28,9 @@
 // maxOrders keeps an answer far below the published limit.
 const maxOrders = 200
 
+// repeatKept is for how many leases the row of an ended attempt is kept that was launched straight.
+const repeatKept = 3
+
 // maxCopies bounds of how many attempts on a machine unanswered launches may be out: their
 // rows stay in the worker's reports until its session ends. Beyond it launches go with
 // answers to reports, which are never carried out late. Guards against a network that
@@ -50,8 +53,14 @@
 }
 
 // forgettable tells whether the row of an ended attempt may be removed: what it
-// did is durable, and no copy of its launch can come late.
-func (c *Core) forgettable(a *model.Attempt) bool {
+// did is durable, and no copy of its launch can come late. One that went straight to the worker and was
+// answered may yet be repeated by the network: its row stays for some leases, and the oldest go
+// first where there are many. Guards against a repeat that starts a stopped task beside its next start,
+// or one of a cancelled job.
+func (c *Core) forgettable(now time.Time, a *model.Attempt) bool {
+	if a.Straight && now.Sub(a.EndedAt) < repeatKept*c.set.Lease && len(a.Machine.Rows)-a.Machine.Holding <= maxCopies {
+		return false
+	}
 	if a.Machine.Copies.Out(model.AttemptKey{Task: a.Task, Try: a.Try}) || a.Machine.Token < c.token {
 		return false
 	}
@@ -82,6 +91,7 @@
 				continue
 			}
 			m.Copies.Send(key)
+			a.Straight = true
 		}
 		a.Told = a.State
 	}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -255,7 +255,7 @@
 
 // exited takes the end of an attempt.
 func (c *Core) exited(now time.Time, a *model.Attempt, t *model.TaskReport) {
-	a.Cause, a.Phase = t.Cause, model.Exited
+	a.Cause, a.Phase, a.EndedAt = t.Cause, model.Exited, now
 	c.log.Debug("attempt ended", "task", a.Task, "try", a.Try, "machine", a.Machine.Name, "why", t.Cause.String(), "saved", t.Saved)
 	c.charge(now, a, now)
 	if t.Cause != model.CauseDone && !t.Saved {
--- a/internal/fake/copies_test.go
+++ b/internal/fake/copies_test.go
@@ -133,6 +133,16 @@
 					}
 				}
 			},
+			"answered commands are repeated": func(r *rapid.T) {
+				for range rapid.IntRange(0, 3).Draw(r, "how many") {
+					if n := len(w.Again); n > 0 {
+						if a := w.Again[rapid.IntRange(0, n-1).Draw(r, "which")]; w.Now().Sub(a.At) < 3*w.Lease {
+							a.Do()
+							w.Check()
+						}
+					}
+				}
+			},
 			"a machine is back at once": func(r *rapid.T) {
 				k := worker(r)
 				if k.w == nil {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -62,6 +62,7 @@
 	Copied []*model.Report // copies of reports that the network keeps; the oldest go first
 	Copies int             // how many it keeps at the most
 	Held   []func()        // direct commands that the network holds back
+	Again  []Again         // direct commands that were answered, and may be repeated
 	Hold   bool            // hold direct commands back and give their senders up
 	Way    func() Fate     // what becomes of the next direct command; nil: it is answered
 	Broken []string        // rules that were broken
@@ -72,6 +73,12 @@
 	full   bool // the cloud has no more machines
 }
 
+// Again is a direct command that was carried out once.
+type Again struct {
+	At time.Time
+	Do func()
+}
+
 type bootingMachine struct {
 	model.Listed
 	at time.Time
@@ -685,6 +692,9 @@
 			w.Held = append(w.Held, func() { deliver() })
 		case fate == Lost:
 		case k != nil && !k.Cut && !k.Mute && !c.Deaf && c.Leads():
+			if len(e.Orders) > 0 && w.Copies > 0 {
+				w.Again = append(w.Again[max(0, len(w.Again)-w.Copies):], Again{w.now, func() { deliver() }})
+			}
 			if ev.Outcome, ev.Report = deliver(); fate == Unanswered {
 				ev.Outcome, ev.Report = control.Unknown, nil
 			}
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -53,6 +53,8 @@
 	Grace      time.Duration
 	Yields     bool         // was stopped to make room
 	Told       AttemptState // the state that a direct command has told the worker of
+	Straight   bool         // its launch went straight to the worker
+	EndedAt    time.Time    // when a report showed its exit
 	Carried    hearing.Mark // the report whose answer first told the worker of the present state; zero: none
 
 	Choice Choice // why it is on its machine; zero where another leader chose
