The election's model: members that end at any step and are back at once

Need: the operators expect it in the middle of an election. With lives not told apart a course on which two act is found.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -54,15 +54,16 @@
 	Seconds int    `default:"10" help:"Seconds from the moment on at which one leads."`
 	Faults  int    `default:"2" help:"Faults in one course, at the most."`
 	Most    int    `default:"5000000" help:"States that may be looked at."`
-	Break   string `default:"" enum:",cut-short,forgotten,late,readable,beside" help:"A part of the protocol to leave out: cut-short, forgotten or late; with levels readable or beside."`
+	Break   string `default:"" enum:",cut-short,forgotten,late,lives,readable,beside" help:"A part of the protocol to leave out: cut-short, forgotten or late; with blinks lives; with levels readable or beside."`
 	Levels  bool   `help:"Members change their programs, and a level is raised."`
+	Blink   bool   `help:"Members end at any step of an election and are back at once."`
 }
 
 var errTwo = errors.New("more than one may act, or one with a token of old")
 
 // Run plays every course and tells what was found.
 func (c *electionCmd) Run() error {
-	r, err := electionplay.Play(electionplay.Settings{Members: c.Members, Seconds: c.Seconds, Faults: c.Faults, Most: c.Most, Break: electionplay.Break(c.Break), Levels: c.Levels})
+	r, err := electionplay.Play(electionplay.Settings{Members: c.Members, Seconds: c.Seconds, Faults: c.Faults, Most: c.Most, Break: electionplay.Break(c.Break), Levels: c.Levels, Blink: c.Blink})
 	if err != nil {
 		return err
 	}
--- a/internal/rehearse/electionplay/play.go
+++ b/internal/rehearse/electionplay/play.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"time"
 
 	"lukechampine.com/blake3"
@@ -26,6 +27,7 @@
 	CutShort  Break = "cut-short" // members keep a promise for a third of the time
 	Forgotten Break = "forgotten" // what a member has promised is counted on though it restarted without memory, and claims
 	Late      Break = "late"      // promises are taken after the right has lapsed
+	Lives     Break = "lives"     // a member takes what is its former life's for its own: messages, and the leader's key
 
 	// Of levels.
 	Readable Break = "readable" // programs from before levels can read the record of the level
@@ -39,7 +41,9 @@
 	Faults  int // at the most, in one course
 	Most    int // states; more are an error
 	Break   Break
-	Levels  bool // members' programs change, and a level is raised
+	Levels  bool     // members' programs change, and a level is raised
+	Blink   bool     // members end at any step of an election and are back at once
+	Only    []string // faults that are played; none: all
 }
 
 // Result is what was found.
@@ -194,6 +198,11 @@
 	if len(s.held) > 0 {
 		out = append(out, trouble{"release", 0})
 	}
+	if s.set.Blink && slices.ContainsFunc(s.held, func(m message) bool { return m.kind == 'c' }) {
+		for i := range s.members {
+			out = append(out, trouble{"late", i}) // a claim of before is carried out right before this one's
+		}
+	}
 	for i := range s.members {
 		k := &s.members[i]
 		if !k.up {
@@ -215,6 +224,11 @@
 			out = append(out, trouble{"raise", i})
 		}
 		out = append(out, trouble{"crash", i}, trouble{"hold", i})
+		if s.set.Blink {
+			for _, at := range blinks {
+				out = append(out, trouble{at, i})
+			}
+		}
 		if !k.away {
 			out = append(out, trouble{"part", i})
 		}
@@ -222,9 +236,32 @@
 			out = append(out, trouble{"cut", i}, trouble{"mute", i})
 		}
 	}
+	if only := s.set.Only; len(only) > 0 {
+		out = slices.DeleteFunc(out, func(t trouble) bool { return slices.Contains(costly, t.kind) && !slices.Contains(only, t.kind) })
+	}
 	return out
 }
 
+// The steps at which a member ends and is back at once: when it has asked for its lease; when its claim was
+// carried out; when it has sent its claim, which is carried out later; when it has just given a
+// promise; when it has told the others that it leads no more, or before it could.
+var blinks = []string{"blink-granted", "blink-claimed", "blink-claiming", "blink-promised", "blink-released", "blink-releasing"}
+
+// costly are the faults that a course has few of.
+var costly = append([]string{"down", "raise", "crash", "hold", "cut", "part", "mute"}, blinks...)
+
+// blink tells whether a member ends now, and has it back without memory.
+func (s *state) blink(i int, at string) bool {
+	if s.trouble != (trouble{at, i}) {
+		return false
+	}
+	s.trouble = trouble{} // once
+	k := &s.members[i]
+	k.m = s.birth(i)
+	k.life++
+	return true
+}
+
 // step plays one second with a trouble in it.
 func (s *state) step(t trouble) {
 	s.now = s.now.Add(second)
@@ -237,7 +274,7 @@
 	}
 	s.trouble = t
 	switch t.kind {
-	case "":
+	case "", "late":
 	case "up":
 		s.down = false
 		for id := range s.leases {
@@ -326,7 +363,7 @@
 	switch {
 	case m.kind != 'c' && (s.members[m.from].away || s.members[m.to].away):
 		return
-	case s.trouble == trouble{"hold", m.from}:
+	case s.trouble == trouble{"hold", m.from}, s.trouble == trouble{"blink-claiming", m.from} && m.kind == 'c':
 		if len(s.held) < 6 {
 			s.held = append(s.held, m)
 		}
@@ -341,12 +378,13 @@
 		s.claim(m.from, m.claim) // given up by its sender: nobody hears of it
 		return
 	}
-	if !k.up || k.life != m.life {
+	told := s.set.Break != Lives
+	if !k.up || told && k.life != m.life {
 		return
 	}
 	answer := message{from: m.to, to: m.from, sent: m.sent, q: m.q}
 	reply := func(kind byte) {
-		if s.members[m.from].life == m.back {
+		if !told || s.members[m.from].life == m.back {
 			answer.kind = kind
 			s.send(answer)
 		}
@@ -362,6 +400,7 @@
 				answer.long *= 3
 			}
 			reply('p')
+			s.blink(m.to, "blink-promised")
 		}
 	case 'p':
 		now := s.now
@@ -386,7 +425,11 @@
 	if !k.up {
 		return
 	}
+	life := k.life
 	for _, e := range k.m.Step(now, ev) {
+		if k.life != life {
+			return // it has ended meanwhile
+		}
 		s.perform(i, e)
 	}
 }
@@ -419,14 +462,27 @@
 			id = s.next
 			s.leases[id] = int(e.Life / second)
 		}
+		if s.blink(i, "blink-granted") {
+			return
+		}
 		s.event(i, s.now, election.Granted{Lease: id, Sent: s.now, Err: err})
 	case election.Claim:
 		s.out.Claims++
 		ok := false
-		if s.trouble == (trouble{"hold", i}) {
+		if s.trouble == (trouble{"late", i}) {
+			for _, m := range s.held {
+				if m.kind == 'c' {
+					s.claim(m.from, m.claim)
+				}
+			}
+		}
+		if s.trouble == (trouble{"hold", i}) || s.trouble == (trouble{"blink-claiming", i}) {
 			s.send(message{kind: 'c', from: i, to: i, claim: e})
 		} else if served {
-			ok = s.claim(i, e)
+			ok = s.claim(i, e) || s.set.Break == Lives && s.holder != 0 && s.owner == i
+		}
+		if s.blink(i, "blink-claimed") || s.blink(i, "blink-claiming") {
+			return
 		}
 		s.event(i, s.now, election.Claimed{OK: ok && answered, Version: s.version, Err: err})
 	case election.Touch:
@@ -444,7 +500,11 @@
 	case election.AskUnbound:
 		s.tell(i, message{kind: 'u'})
 	case election.Release:
+		if s.blink(i, "blink-releasing") {
+			return
+		}
 		s.tell(i, message{kind: 'r', q: election.Question{Token: e.Token}})
+		s.blink(i, "blink-released")
 	}
 }
 
