Deaf machines are noticed by what comes by way of other members

Cause: with three members a deaf worker comes back to its leader every 15 s, after its lease of 14 s; what tells of it comes by way of the members that it turns to, and was left out.

--- a/internal/control/hearing_test.go
+++ b/internal/control/hearing_test.go
@@ -250,6 +250,35 @@
 	}
 }
 
+// A deaf worker turns from member to member, so what tells of it comes by way of others, and the leader
+// hears it itself more rarely than its lease lasts.
+func TestADeafMachineIsNoticedByWayOfOtherMembers(t *testing.T) {
+	k := talks(t, &Snapshot{})
+	k.up("n-1", "n-2", "n-3", "n-4")
+	k.step(5*time.Second, ReportIn{Report: says("n-1", 1, 3, 1), Handed: true})
+	if m := k.c.machines["n-1"]; m.Ear.State != hearing.Asked {
+		t.Fatalf("%v", m.Ear.State)
+	}
+	k.unanswered()
+	if m := k.c.machines["n-1"]; m.Ear.State != hearing.Doubtful || k.c.placeable(k.now, m) {
+		t.Errorf("%v, placeable %v", m.Ear.State, k.c.placeable(k.now, m))
+	}
+	// One whose answers arrive by way of another member keeps its session, and is trusted again.
+	for seq := uint64(4); seq < 12; seq++ {
+		k.step(2*time.Second, ReportIn{Report: says("n-1", 1, seq, 1), Handed: true})
+		k.unanswered()
+	}
+	if m := k.c.machines["n-1"]; m.Ear.State != hearing.Hears {
+		t.Errorf("%v after its session has outlived the doubt", m.Ear.State)
+	}
+	// Its lease runs out although it was answered: it is asked.
+	k.report(2*time.Second, says("n-2", 1, 3, 1))
+	k.step(13*time.Second, ReportIn{Report: says("n-2", 2, 1, 1), Handed: true})
+	if m := k.c.machines["n-2"]; m.Ear.State != hearing.Asked {
+		t.Errorf("%v: its lease has run out in between", m.Ear.State)
+	}
+}
+
 func TestADeafMachineIsTrustedAgainWhenItAnswers(t *testing.T) {
 	k := talks(t, &Snapshot{})
 	k.up("n-1", "n-2", "n-3")
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -7,15 +7,16 @@
 	"github.com/glentiller/glentiller/internal/model"
 )
 
-// orders lists everything that a worker is to do, for the answer to a report.
-func (c *Core) orders(now time.Time, m *model.Machine) []model.Order {
+// orders lists everything that a worker is to do, for the answer to a report, which came straight from
+// it or by way of another member.
+func (c *Core) orders(now time.Time, m *model.Machine, straight bool) []model.Order {
 	var out []model.Order
 	for _, a := range m.Rows {
 		if len(out) >= maxOrders {
 			break
 		}
 		n := len(out)
-		if out = c.order1(out, a); len(out) > n && a.Carried == (hearing.Mark{}) {
+		if out = c.order1(out, a); len(out) > n && straight && a.Carried == (hearing.Mark{}) {
 			a.Carried = m.Reported()
 		}
 		if a.State == model.Ended && c.forgettable(now, a) {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -55,7 +55,7 @@
 		// comes again was sent before it first came.
 		m.Deadline = c.leaseEnd(now)
 	}
-	c.emit(Answer{Orders: c.orders(now, m)})
+	c.emit(Answer{Orders: c.orders(now, m, !ev.Handed)})
 	if kind == hearing.Fresh {
 		delete(c.news, m)
 	}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -213,7 +213,10 @@
 		}
 		w.Copied = append(w.Copied, r)
 	}
-	v, ok := c.report(r)
+	v, ok := c.report(r, false)
+	if l := k.w.Leader(); k.Mute && !ok && c.Up && l != nil && l != c && !c.Alone && !l.Alone {
+		l.report(r, true)
+	}
 	switch {
 	case k.Mute: // it waits for its answer, and then tries the next controller
 		k.target = (k.target + 1) % len(k.w.Controllers)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -295,7 +295,7 @@
 // Late has a copy of an earlier report arrive at whoever leads, or at a controller of the caller's
 // choice. Nobody waits for its answer.
 func (w *World) Late(c *Controller, r *model.Report) {
-	c.report(r)
+	c.report(r, false)
 	w.Check()
 }
 
@@ -441,12 +441,12 @@
 	orders []model.Order
 }
 
-func (c *Controller) report(r *model.Report) (verdict, bool) {
+func (c *Controller) report(r *model.Report, handed bool) (verdict, bool) {
 	if !c.Leads() || c.Deaf {
 		return verdict{}, false
 	}
 	v, ok := verdict{token: c.token}, true
-	for _, e := range c.act(control.ReportIn{Report: r}) {
+	for _, e := range c.act(control.ReportIn{Report: r, Handed: handed}) {
 		if a, is := e.(control.Answer); is {
 			v.orders, ok = a.Orders, !a.Refused
 		}
--- a/internal/hearing/ear.go
+++ b/internal/hearing/ear.go
@@ -31,6 +31,7 @@
 	Proved time.Time // what was sent at some moment until here has reached it
 
 	straight time.Time // when the last report came straight from it and was answered
+	left     bool      // others came by way of members since
 	told     int       // answers in a row that it shows nothing of
 }
 
@@ -64,38 +65,40 @@
 type Sign struct {
 	Straight bool // it came from the machine itself, not by way of another member
 	Shows    bool // it shows something that was sent to it, for the first time
-	Lacks    bool // it lacks what the answer to an earlier report of the session has told
+	Lacks    bool // it lacks what the answer to an earlier straight one of the session has told
 	Session  bool // the worker has begun a new session
 	Quiet    bool // many machines of the zone are silent: a cut explains gaps
 }
 
 // Heard takes a fresh report that is answered.
 //
-// Only straight ones tell anything against a machine: what is handed on may be answered too late.
+// Only answers to straight ones tell anything against a machine, since what is handed on may be
+// answered too late. A worker that waits for one in vain turns to another member, so the report that tells
+// of it mostly comes by way of that one.
 func (e *Ear) Heard(now time.Time, s Sign, set Settings) (changed bool) {
-	gap, lease := now.Sub(e.straight), set.Lease
+	gap, left := now.Sub(e.straight), e.left
 	known := !e.straight.IsZero()
-	if s.Straight {
+	if e.left = !s.Straight; s.Straight {
 		e.straight = now
 	}
 	switch {
 	case s.Shows:
 		return e.Prove(now, "it shows what it was told")
-	case !s.Straight:
-		return false
 	case s.Lacks:
 		if e.told++; e.told >= enough {
 			return e.State <= Asked && e.to(now, Doubtful, "it does not do what it is told")
 		}
 		return e.Suspect(now, "it lacks what it was told")
-	case s.Session && known && gap < lease:
+	case s.Session && known && gap < set.Lease+set.Gap && !s.Quiet:
 		return e.Suspect(now, "its lease has run out although its reports were answered")
-	case known && gap >= set.Gap && gap < lease && !s.Quiet:
+	case known && !left && gap >= set.Gap && gap < set.Lease && !s.Quiet:
 		return e.Suspect(now, "it seems to have waited for an answer in vain")
-	case !s.Session && e.State == Doubtful && now.Sub(e.Since) > lease+lease/8:
+	case !s.Session && e.State == Doubtful && now.Sub(e.Since) > set.Lease+set.Lease/8:
 		return e.Prove(now, "its session has outlived the doubt by a lease")
 	}
-	e.told = 0
+	if s.Straight {
+		e.told = 0
+	}
 	return false
 }
 
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -55,7 +55,7 @@
 	Told       AttemptState // the state that a direct command has told the worker of
 	Straight   bool         // its launch went straight to the worker
 	EndedAt    time.Time    // when a report showed its exit
-	Carried    hearing.Mark // the report whose answer first told the worker of the present state; zero: none
+	Carried    hearing.Mark // the straight report whose answer first told the worker of the present state; zero: none
 
 	Choice Choice // why it is on its machine; zero where another leader chose
 
--- a/internal/rehearse/troubles/play.go
+++ b/internal/rehearse/troubles/play.go
@@ -29,11 +29,13 @@
 	Forgotten int      `json:"forgotten_jobs"`       // about which no question was answered for 75 s after all troubles
 	Longest   float64  `json:"longest_unanswered_s"` // after all troubles
 	Deaf      float64  `json:"deaf_noticed_s"`       // from when a machine with work or orders hears nothing to when it gets no more; the worst
-	Missed    int      `json:"deaf_not_noticed"`     // of those that were deaf for a lease and longer
-	Killed    int      `json:"killed_tasks"`         // by their workers' leases
-	Least     float64  `json:"least_served"`         // the least part of a class, a team or a class's largest jobs that began
-	Begin     float64  `json:"largest_begin_s"`      // the latest beginning of one of the largest quarter of a class
-	What      []string `json:"what,omitempty"`       // the first broken rules
+	Mean      float64  `json:"deaf_noticed_mean_s"`
+	DeafOnes  int      `json:"deaf_noticed"`     // machines
+	Missed    int      `json:"deaf_not_noticed"` // of those that were deaf for a lease and longer
+	Killed    int      `json:"killed_tasks"`     // by their workers' leases
+	Least     float64  `json:"least_served"`     // the least part of a class, a team or a class's largest jobs that began
+	Begin     float64  `json:"largest_begin_s"`  // the latest beginning of one of the largest quarter of a class
+	What      []string `json:"what,omitempty"`   // the first broken rules
 }
 
 // Good tells whether no rule was broken and nothing forgotten.
@@ -43,6 +45,10 @@
 	r.Runs += o.Runs
 	r.Broken, r.Forgotten, r.Missed, r.Killed = r.Broken+o.Broken, r.Forgotten+o.Forgotten, r.Missed+o.Missed, r.Killed+o.Killed
 	r.Longest, r.Deaf, r.Begin, r.Least = max(r.Longest, o.Longest), max(r.Deaf, o.Deaf), max(r.Begin, o.Begin), min(r.Least, o.Least)
+	if o.DeafOnes > 0 {
+		r.Mean += (o.Mean - r.Mean) * float64(o.DeafOnes) / float64(r.DeafOnes+o.DeafOnes)
+		r.DeafOnes += o.DeafOnes
+	}
 	r.What = append(r.What, o.What[:min(len(o.What), max(0, 5-len(r.What)))]...)
 }
 
@@ -265,7 +271,10 @@
 	for name, since := range r.deaf {
 		if k := r.w.Workers[name]; !r.noticed[name] && (k == nil || l.Core.Hearing(name) >= hearing.Doubtful) {
 			r.noticed[name] = true
-			r.res.Deaf = max(r.res.Deaf, r.w.Now().Sub(since).Seconds())
+			took := r.w.Now().Sub(since).Seconds()
+			r.res.Deaf = max(r.res.Deaf, took)
+			r.res.DeafOnes++
+			r.res.Mean += (took - r.res.Mean) / float64(r.res.DeafOnes)
 		}
 	}
 }
