Any report is taken or refused: other machines by a known name, numbers that nobody gave

A property test with reports of any content and order found an account that lost an attempt: a row with a number that this leader had yet to give.

--- /dev/null
+++ b/internal/control/anyreport_test.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// Whatever reports and answers say, in whatever order and however often: nothing panics, no task is live
+// twice, and the accounts are what the attempts hold.
+func TestAnyReportsLeaveTheAccountsWhole(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		old := flag.Lookup(name).Value.String()
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = flag.Set(name, old) }()
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		k := talks(t, &Snapshot{Machines: []model.Listed{{Machine: "n-1", Addr: "n-1", Type: "eight", Zone: "a"}}})
+		for _, id := range []string{"wk-1", "wk-2", "wk-3"} {
+			shape := rapid.SampledFrom([]model.Shape{model.Array, model.Service, model.Gang}).Draw(r, "shape")
+			k.step(0, JobAdded{At: k.now, Spec: &model.Spec{ID: id, Team: "red", Shape: shape, Tasks: 3, Need: model.Resources{CPU: 2, MemGB: 4}, Estimate: time.Minute}})
+		}
+		var sent []*model.Report
+		draw := func() *model.Report {
+			if len(sent) > 0 && rapid.IntRange(0, 2).Draw(r, "copy") == 0 {
+				return rapid.SampledFrom(sent).Draw(r, "which")
+			}
+			m := says(rapid.SampledFrom([]string{"n-1", "n-2", "n-3"}).Draw(r, "machine"), rapid.Uint64Range(1, 3).Draw(r, "session"), rapid.Uint64Range(0, 30).Draw(r, "number"), rapid.Uint64Range(0, 2).Draw(r, "token"))
+			m.Zone, m.Notice = rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(r, "zone"), rapid.IntRange(0, 9).Draw(r, "notice") == 0
+			for range rapid.IntRange(0, 4).Draw(r, "rows") {
+				m.Tasks = append(m.Tasks, model.TaskReport{Task: model.TaskID{Job: rapid.SampledFrom([]string{"wk-1", "wk-2", "wk-3", "wk-9"}).Draw(r, "job"), Index: rapid.IntRange(0, 3).Draw(r, "task")},
+					Try: rapid.SampledFrom([]uint64{3, 4, 1<<24 + 1, 1<<24 + 2}).Draw(r, "try"), Phase: rapid.SampledFrom([]model.Phase{model.Fetching, model.Waiting, model.Running, model.Saving, model.Exited}).Draw(r, "phase"),
+					Cause: rapid.SampledFrom([]model.Cause{model.CauseDone, model.CauseStopped, model.CausePeers, model.CauseError, model.CauseBusy}).Draw(r, "cause")})
+			}
+			sent = append(sent, m)
+			return m
+		}
+		var out []Command
+		r.Repeat(map[string]func(*rapid.T){
+			"report": func(*rapid.T) {
+				k.step(time.Duration(rapid.IntRange(0, 3000).Draw(r, "ms"))*time.Millisecond, ReportIn{Report: draw(), Handed: rapid.Bool().Draw(r, "handed")})
+			},
+			"time": func(*rapid.T) {
+				k.step(time.Duration(rapid.IntRange(0, 9000).Draw(r, "ms"))*time.Millisecond, Tick{})
+			},
+			"answer": func(*rapid.T) {
+				if len(out) == 0 {
+					return
+				}
+				q := out[0]
+				out = out[1:]
+				ev := CommandBack{Machine: q.Machine, Session: q.Session, Orders: q.Orders, Outcome: rapid.SampledFrom([]Outcome{OK, Refused, Unknown}).Draw(r, "outcome")}
+				if ev.Outcome == OK {
+					ev.Report = draw()
+				}
+				k.step(0, ev)
+			},
+			"": func(*rapid.T) {
+				for _, e := range k.out {
+					if q, ok := e.(Command); ok {
+						out = append(out, q)
+					}
+				}
+				k.out = nil
+				var held model.Resources
+				live := map[model.TaskID]*model.Attempt{}
+				for _, m := range k.c.machines {
+					n := 0
+					for _, a := range m.Rows {
+						if a.Holds() {
+							n++
+							held = held.Add(a.Need)
+						}
+						if a.Holds() && a.Job != nil && a.Job.Live[a.Task.Index] == a {
+							if live[a.Task] != nil {
+								r.Fatalf("%v is live twice", a.Task)
+							}
+							live[a.Task] = a
+						}
+					}
+					if n != m.Holding {
+						r.Fatalf("%s holds %d, counted %d", m.Name, n, m.Holding)
+					}
+				}
+				sum := k.c.stray.Held
+				for _, u := range k.c.use {
+					sum = sum.Add(u.Held)
+				}
+				if d := sum.CPU - held.CPU; d > 1e-6 || d < -1e-6 {
+					r.Fatalf("held %v, accounts say %v", held, sum)
+				}
+			},
+		})
+	})
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -132,6 +132,7 @@
 	resumeAt  time.Time // no machine counts as silent before this
 
 	ears      hearing.Settings
+	foreignAt time.Time               // when a report of another machine by a known name was last told of
 	asking    int                     // questions that are out
 	inDoubtOf map[*model.Machine]bool // machines that seem not to hear this leader
 	provedAt  time.Time               // when any machine last proved that it does
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -31,6 +31,14 @@
 		c.emit(Answer{})
 		return
 	}
+	if c.foreign(m, r) {
+		if now.Sub(c.foreignAt) > 10*time.Second {
+			c.foreignAt = now
+			c.log.Warn("a report of another machine by this name", "machine", m.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "known", m.Type.Name, "in", m.Zone)
+		}
+		c.emit(Answer{Refused: true})
+		return
+	}
 	session, life := m.Session, m.Life
 	kind := m.Hear(r.Session, r.Seq, r.Token)
 	if m.Life != life {
@@ -61,6 +69,15 @@
 	}
 }
 
+// foreign tells that a report names another type, zone or kind than its machine is known to have.
+// None of them ever changes. Guards against bounds by zone that count tasks where they are not.
+func (c *Core) foreign(m *model.Machine, r *model.Report) bool {
+	if m.State == model.Booting || m.Session == 0 {
+		return false
+	}
+	return r.Type != m.Type.Name || r.Zone != m.Zone || r.Spot != m.Spot
+}
+
 // observe takes what a worker says of itself, unless something newer is known. certain tells that
 // it answers a question, so that it is no copy. It tells whether it shows something that this
 // leader has sent, for the first time.
@@ -96,6 +113,11 @@
 	seen := make(map[model.AttemptKey]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
+		if t.Try > c.token<<24+c.tries {
+			// Guards against numbers that nobody has given out: a later start by the same number would
+			// take its place in the accounts. If a later leader has, nothing of this one counts any more.
+			continue
+		}
 		key := model.AttemptKey{Task: t.Task, Try: t.Try}
 		seen[key] = true
 		a := m.Rows[key]
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,9 +9,11 @@
 	"net"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"github.com/glentiller/glentiller/internal/budget"
 	"github.com/glentiller/glentiller/internal/model"
@@ -81,11 +83,14 @@
 	log     *slog.Logger
 	now     func() time.Time
 	httpSrv *fasthttp.Server
+
+	badReports atomic.Uint64
+	tellBad    rate.Sometimes
 }
 
 // New makes a server. now is the time of day.
 func New(set Settings, jobs Jobs, back Backend, now func() time.Time, log *slog.Logger) *Server {
-	s := &Server{set: set, jobs: jobs, back: back, log: log, now: now}
+	s := &Server{set: set, jobs: jobs, back: back, log: log, now: now, tellBad: rate.Sometimes{Interval: 10 * time.Second}}
 	s.httpSrv = &fasthttp.Server{
 		Handler:                       s.Handle,
 		ErrorHandler:                  s.malformed,
@@ -404,7 +409,8 @@
 func (s *Server) report(c *fasthttp.RequestCtx) {
 	r, err := wire.DecodeReport(c.PostBody())
 	if err != nil {
-		s.log.Warn("malformed report", "err", err)
+		s.badReports.Add(1)
+		s.tellBad.Do(func() { s.log.Warn("malformed report", "err", err, "since_last_line", s.badReports.Swap(0)) })
 		s.reply(c, fasthttp.StatusBadRequest, wire.AppendError(nil, err.Error()))
 		return
 	}
