The lease of a life that began unnoticed is counted from every answer to a command

Cause, found at the last reading: a machine that is back at once with numbers above the known ones is not told from its former life by an answer, and its lease began later than the one that was counted. Tasks started in it could be freed while they ran, if no report of it was answered before the old lease ran out. Leases are counted from each answer, and from the report that shows a new life. Conservative only.

--- a/internal/control/hearing.go
+++ b/internal/control/hearing.go
@@ -45,13 +45,16 @@
 	c.proved(now, m, "it has answered")
 	if known := m.Known(); m.Answered(r.Session, r.Seq) {
 		c.log.Warn("machine has begun anew", "machine", m.Name, "known", known, "session", r.Session, "number", r.Seq, "holding", m.Holding, "commands_on_their_way", m.Copies.Attempts())
-		m.Errors, m.Deadline = map[string]int{}, c.leaseEnd(now)
+		m.Errors = map[string]int{}
 		if m.Copies.Attempts() > 0 && m.Set(now, model.Returning, "began anew") {
 			// Launches that were sent to its former life may reach this one, which does not
 			// know them. What they name stays where it is until the machine is gone.
 			c.log.Info("returning", "machine", m.Name, "why", m.Why, "holding", m.Holding)
 		}
 	}
+	// Its lease may have begun as late as now, if it has begun anew with higher numbers than were known.
+	// Guards against tasks of a new life that are freed when the lease of the former one has run out.
+	m.Deadline = c.leaseEnd(now)
 	if r.Session > m.DeadSession {
 		c.observe(now, m, r, true)
 	}
--- a/internal/control/hearing_test.go
+++ b/internal/control/hearing_test.go
@@ -176,10 +176,18 @@
 	if !k.refused() {
 		t.Error("taken for the life that has seen the token")
 	}
+	lease := func(what string) {
+		t.Helper()
+		if m := k.c.machines["n-1"]; m.Deadline != k.c.leaseEnd(k.now) {
+			t.Errorf("%s: its lease counts from %v ago", what, k.c.leaseEnd(k.now).Sub(m.Deadline))
+		}
+	}
+	lease("a new life")
 	k.answer(says("n-1", 1, 4, 1))
 	if m := k.c.machines["n-1"]; m.Life != hearing.Anew || m.Seq != 4 {
 		t.Errorf("life %v, number %d", m.Life, m.Seq)
 	}
+	lease("an answer, which may be a new life's")
 }
 
 func TestACopyOfAMachineThatIsGoneBringsNothingBack(t *testing.T) {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -42,6 +42,7 @@
 	session, life := m.Session, m.Life
 	kind := m.Hear(r.Session, r.Seq, r.Token)
 	if m.Life != life {
+		m.Deadline = c.leaseEnd(now) // of the new life, which has begun before now
 		c.log.Warn("machine has begun anew", "machine", m.Name, "known", m.Known(), "session", r.Session, "number", r.Seq, "token", m.Token, "shows", r.Token)
 	}
 	switch kind {
