--- a/internal/hearing/ear.go
+++ b/internal/hearing/ear.go
@@ -25,10 +25,9 @@
 // Ear is what a leader knows of whether a machine hears it. Evidence goes in, in any order; a proof
 // ends every doubt.
 type Ear struct {
-	State  State
-	Since  time.Time
-	Why    string
-	Proved time.Time // what was sent at some moment until here has reached it
+	State State
+	Since time.Time
+	Why   string
 
 	straight time.Time // when the last report came straight from it and was answered
 	left     bool      // others came by way of members since
@@ -46,7 +45,7 @@
 
 // Prove takes a proof that something that was sent lately has reached the machine.
 func (e *Ear) Prove(now time.Time, why string) bool {
-	e.Proved, e.told = now, 0
+	e.told = 0
 	return e.to(now, Hears, why)
 }
 
