A leader answers workers only while it knows what users were told of cancellations

Need: a user is told by any member, and the workers' leases are kept by a leader that may not be able to read it. Going through the code, and a test that brings each about, found four ways in which the tasks of a cancelled job ran on for as long as an outage lasted: - the leader told its own user, and the outage came before any change of the records did; - all who told users were back at once, with the records of after it and no memory; - the lease was renewed while reads hung, with one member gone; - the right was back after an outage before the records were read. 300 cancellations, more than a promise could tell, cost the whole fleet its leases.

Change: one bound in the place of arithmetic over promises. A leader acts only while it knows of all that was told K = cancel_s - lease - 3 s ago, by reading or by the words of all others, which come whether they promise or not (internal/word, store.Jobs.Word). Words go into the view of the records, follow a cursor, and say whether they are whole. Stops go first in answers. A member that is not served itself promises to a leader that it was served later than.

--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -15,6 +15,7 @@
 	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/sched"
 	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/word"
 )
 
 // numbered is how many tasks a numbered chunk of the finished-task record has. The
@@ -146,6 +147,13 @@
 	return s
 }
 
+// Informed is how old a leader's knowledge of cancellations may be; ok is false where workers'
+// leases are too long for any bound.
+func Informed(p *Platform) (b word.Bound, ok bool) {
+	w := p.Deployment.Workers
+	return word.Within(Seconds(w.Cancel), Seconds(w.Lease))
+}
+
 // Routing puts together what users' requests are routed by; nil: they are answered where they
 // come.
 func Routing(p *Platform, o *Operator) *route.Settings {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -11,10 +11,20 @@
 // it or by way of another member.
 func (c *Core) orders(now time.Time, m *model.Machine, straight bool) []model.Order {
 	var out []model.Order
+	for _, a := range m.Rows {
+		// Stops go first. Guards against an answer that is full before them, and renews the lease
+		// of a machine that holds tasks of a cancelled job.
+		if a.State == model.Stopping && len(out) < maxOrders {
+			out = c.order1(out, a)
+		}
+	}
 	for _, a := range m.Rows {
 		if len(out) >= maxOrders {
 			break
 		}
+		if a.State == model.Stopping {
+			continue
+		}
 		n := len(out)
 		if out = c.order1(out, a); len(out) > n && straight && a.Carried == (hearing.Mark{}) {
 			a.Carried = m.Reported()
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -43,7 +43,10 @@
 }
 
 // world is a deployment whose time has not begun.
-func world(machines int, times float64) *World {
+func world(machines int, times float64) *World { return worldOf(3, machines, times) }
+
+// worldOf is the same with so many members.
+func worldOf(members, machines int, times float64) *World {
 	p := &config.Platform{Member: "tiller-0"}
 	d := &p.Deployment
 	d.Zones = []string{"a", "b"}
@@ -56,7 +59,7 @@
 		{Name: "red", Guarantee: model.Resources{CPU: 16 * times}, Limit: model.LimitOf(32*times, 0)},
 		{Name: "blue", Guarantee: model.Resources{CPU: 8 * times}, Limit: model.LimitOf(16*times, 0)},
 	}
-	w := NewWorld(3, set, el, config.Store(p), quiet)
+	w := NewWorld(members, set, el, config.Store(p), quiet)
 	w.Types = []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Price: 1, SpotPrice: 0.3, Boot: 5 * second, Zones: []string{"a", "b"}}}
 	for i := range machines {
 		w.machines++
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"sort"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/glentiller/glentiller/internal/rpc"
 	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/wire"
+	"github.com/glentiller/glentiller/internal/word"
 )
 
 // World is a deployment in memory: controllers, the state service, the cloud and
@@ -36,6 +38,7 @@
 	Awaits      map[string][]string             // what jobs were submitted to wait for
 	Allowed     map[string]func(k *Worker) bool // what jobs' rules say of a machine when a task has started there
 	Limits      store.Limits                    // that the controllers keep within
+	Bound       word.Bound                      // how old a leader's knowledge of cancellations may be
 	Keep        int                             // ended jobs that a controller remembers
 	Rejected    []string                        // records that the state service would not take
 
@@ -58,6 +61,7 @@
 	rented    map[string][]string
 	booting   map[string]bootingMachine
 	machines  int
+	lives     uint64 // of controllers
 
 	Copied []*model.Report // copies of reports that the network keeps; the oldest go first
 	Copies int             // how many it keeps at the most
@@ -112,6 +116,7 @@
 	log    *slog.Logger
 	Up     bool
 	NoNet  bool          // cut off from the state service
+	NoRead bool          // its reads are not answered by the state service; all else is
 	Alone  bool          // cut off from the other controllers
 	Deaf   bool          // cut off from the workers
 	Old    bool          // plays a version without a ledger, from its next start on
@@ -122,6 +127,8 @@
 	Jobs   *store.Jobs
 	Elect  *election.Machine
 	Core   *control.Core
+	book   *word.Book // nil: it has no core
+	toldBy map[string]store.Told
 	token  uint64
 	ver    uint64
 	held   bool
@@ -135,6 +142,9 @@
 	if c.NoNet {
 		return nil, &rpc.StatusError{Status: 503}
 	}
+	if c.NoRead && method == http.MethodGet {
+		return nil, context.DeadlineExceeded
+	}
 	if uri == "/commit" {
 		if c.w.Ear != nil {
 			c.w.Ear.Sent(Ops(body))
@@ -171,6 +181,7 @@
 		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
 		seen: map[string]bool{}, Allowed: map[string]func(k *Worker) bool{}, Awaits: map[string][]string{}, Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
 	w.State = NewState(func() time.Time { return w.now })
+	w.Bound, _ = word.Within(set.Cancel, set.Lease)
 	for _, t := range set.Teams {
 		w.Teams[t.Name] = t
 	}
@@ -187,7 +198,9 @@
 
 // Start starts a controller with nothing in memory.
 func (c *Controller) Start() {
-	c.Up, c.Core, c.held = true, nil, false
+	c.Up, c.Core, c.book, c.held = true, nil, nil, false
+	c.toldBy = map[string]store.Told{}
+	c.w.lives++
 	c.State = store.NewOver(c, c, time.Second)
 	c.State.SetRates(1e9, 1e9)
 	c.changes, c.later = nil, nil
@@ -199,7 +212,7 @@
 		own.Day = func(now time.Time) time.Time { return now.Add(c.DayOff) }
 		c.set.Ledger = &own
 	}
-	c.Jobs = store.NewJobs(c.State, c.w.Keep, c.w.Limits, func(ch []store.JobChange) { c.changes = append(c.changes, ch...) }, c.log)
+	c.Jobs = store.NewJobs(c.State, c.w.lives, c.w.Keep, c.w.Limits, func(ch []store.JobChange) { c.changes = append(c.changes, ch...) }, c.log)
 	c.State.SetClock(func() time.Time { return c.w.now })
 	c.esets.Others = nil
 	for _, o := range c.w.Controllers {
@@ -211,10 +224,14 @@
 }
 
 // Crash ends a controller without a word.
-func (c *Controller) Crash() { c.Up, c.Core = false, nil }
+func (c *Controller) Crash() { c.Up, c.Core, c.book = false, nil, nil }
 
 // Leads tells whether the controller may act for all.
-func (c *Controller) Leads() bool { return c.Up && c.Core != nil && c.Elect.Entitled(c.w.now) }
+func (c *Controller) Leads() bool {
+	return c.entitled() && c.w.now.Before(c.book.Since().Add(c.w.Bound.Keep))
+}
+
+func (c *Controller) entitled() bool { return c.Up && c.Core != nil && c.Elect.Entitled(c.w.now) }
 
 // Team is a team as the controller knows it; nil: it does not.
 func (c *Controller) Team(name string) *model.Team {
@@ -230,12 +247,16 @@
 func (w *World) Leader() *Controller {
 	var l *Controller
 	for _, c := range w.Controllers {
-		if c.Leads() {
-			if l != nil {
-				w.broken("two leaders: %s and %s", l.Member, c.Member)
-			}
-			l = c
+		if !c.entitled() {
+			continue
+		}
+		if l != nil {
+			w.broken("two leaders: %s and %s", l.Member, c.Member)
 		}
+		l = c
+	}
+	if l != nil && !l.Leads() {
+		return nil
 	}
 	return l
 }
@@ -475,17 +496,24 @@
 		}
 		return
 	}
-	if c.Jobs.Loaded() && c.Jobs.CatchUp(context.Background()) == nil {
-		for _, ch := range c.changes {
-			c.act(c.Jobs.Event(ch))
-		}
-		c.changes = nil
+	if c.Jobs.Loaded() {
+		_ = c.Jobs.CatchUp(context.Background()) // tried again with the next step
+	}
+	at := c.Jobs.AsOf()
+	c.applyChanges()
+	if c.book == nil {
+		return // another leader has taken over
+	}
+	c.book.Read(at)
+	if !c.Leads() && c.w.now.Before(c.Elect.LeaseUntil()) {
+		c.election(election.Resign{}) // it is served, and knows too little to act
+		return
 	}
 	if c.Leads() {
 		if c.held {
 			c.Core.Resume(c.w.now)
 		}
-		c.Core.Still(!c.w.now.Before(c.Elect.StartsUntil()))
+		c.Core.Still(!c.w.now.Before(c.Elect.StartsUntil()) || !c.w.now.Before(c.book.Since().Add(c.w.Bound.Start)))
 		c.act(control.Tick{})
 		if c.Core.Deaf(c.w.now) {
 			c.election(election.Resign{})
@@ -494,6 +522,15 @@
 	c.held = c.Core != nil && !c.Leads()
 }
 
+// applyChanges tells the core of changes of the job records.
+func (c *Controller) applyChanges() {
+	changes := c.changes
+	c.changes = nil
+	for _, ch := range changes {
+		c.act(c.Jobs.Event(ch))
+	}
+}
+
 // look reads who leads. A program from before levels takes every record there for a token's.
 func (c *Controller) look() (election.Record, error) {
 	r, _, err := c.State.Look(context.Background())
@@ -545,20 +582,25 @@
 				if o == c {
 					continue
 				}
-				rev, silent := c.Jobs.Revision(), c.w.now.Sub(c.State.Contact())
+				rev, silent, told := c.Jobs.Revision(), c.w.now.Sub(c.State.Contact()), c.toldBy[o.Member]
 				c.w.between(c, o, func() {
 					q := election.Question{Leader: c.Member, Token: e.Token, Seq: e.Seq, For: e.For, Instead: e.Instead}
-					if long, cancelled := o.promise(q, rev, silent); long > 0 {
-						c.w.between(o, c, func() {
-							if c.token != e.Token {
-								return
-							}
-							for _, id := range cancelled {
-								c.act(control.JobEnded{ID: id, End: model.EndCancelled})
-							}
+					word := o.Jobs.Word(rev, told)
+					long := o.promise(q, silent)
+					c.w.between(o, c, func() {
+						if c.token != e.Token || c.Core == nil {
+							return
+						}
+						c.Jobs.Heard(word.Cancelled)
+						c.applyChanges()
+						c.toldBy[o.Member] = word.Upto
+						if word.Whole {
+							c.book.Told(o.Member, sent)
+						}
+						if long > 0 {
 							c.election(election.PromiseBack{Member: o.Member, Token: e.Token, Sent: sent, Seq: e.Seq, For: long})
-						})
-					}
+						}
+					})
 				})
 			}
 		case election.AskUnbound:
@@ -588,21 +630,17 @@
 			c.token, c.ver = e.Token, e.TokenVersion
 			c.takeOver()
 		case election.Deposed:
-			c.Core = nil
+			c.Core, c.book = nil, nil
 		}
 	}
 }
 
 // promise decides as package node does.
-func (c *Controller) promise(q election.Question, rev uint64, silent time.Duration) (time.Duration, []string) {
-	if c.Jobs.Revision() == 0 || c.State.Contact().Sub(c.w.now.Add(-silent)) > 2*time.Second {
-		return 0, nil
-	}
-	cancelled, all := c.Jobs.CancelledSince(rev)
-	if !all {
-		return 0, nil
+func (c *Controller) promise(q election.Question, silent time.Duration) time.Duration {
+	if c.Jobs.Revision() == 0 || c.State.Contact().Sub(c.w.now.Add(-silent)) > 2*time.Second && c.State.Down(c.w.now) == 0 {
+		return 0
 	}
-	return c.Elect.Promise(c.w.now, q), cancelled
+	return c.Elect.Promise(c.w.now, q)
 }
 
 // between carries a message from one controller to another, unless one is down or they are
@@ -633,6 +671,7 @@
 	c.Jobs.Snapshot(snap)
 	c.Core = control.New(c.w.now, c.set, c.token, snap, c.w.Types, c.log)
 	c.changes = nil
+	c.book = word.New(c.esets.Others, c.Jobs.AsOf())
 }
 
 // act hands an event to the core and carries out the effects.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"runtime/metrics"
 	"sync"
@@ -27,6 +28,7 @@
 	"github.com/glentiller/glentiller/internal/peer"
 	"github.com/glentiller/glentiller/internal/route"
 	"github.com/glentiller/glentiller/internal/store"
+	"github.com/glentiller/glentiller/internal/word"
 	"github.com/glentiller/glentiller/internal/worker"
 )
 
@@ -65,6 +67,11 @@
 	core  *control.Core
 	term  uint64 // counts the leaderships of this process; effects of an earlier one are void
 	held  holds
+	// What it knows of cancellations as leader; nil: its core is not there yet.
+	book   *word.Book
+	bound  word.Bound
+	behind bool                  // it knows too little to act
+	toldBy map[string]store.Told // by member, how far this one was told
 	// While the right of the present leadership has lapsed: its token, and since when.
 	lapsed   uint64
 	lapsedAt time.Time
@@ -109,7 +116,7 @@
 		log.Warn("memory", "short", short, "held_mb", held>>20, "most_mb", most>>20)
 	})
 	n.state = store.New(p.Outside.State, o.Front.StateTimeout.D(), n.sockets.Dial(budget.State))
-	n.jobs = store.NewJobs(n.state, o.Front.KeepEnded, config.Store(p), n.jobsChanged, log)
+	n.jobs = store.NewJobs(n.state, rand.Uint64()|1, o.Front.KeepEnded, config.Store(p), n.jobsChanged, log)
 	n.cloud = cloud.New(p.Outside.Cloud, 1, cloudTimeout, n.sockets.Dial(budget.Cloud))
 	n.workers = worker.New(o.Workers.DirectWait.D(), n.sockets.Dial(budget.Direct))
 	set := config.Election(p, o)
@@ -118,6 +125,12 @@
 		log.Warn("promises stay off: workers' leases, the leader's lease and 3 s are not below cancel_s", "lease_s", p.Deployment.Workers.Lease,
 			"leader_lease", set.Life, "cancel_s", p.Deployment.Workers.Cancel)
 	}
+	var ok bool
+	if n.bound, ok = config.Informed(p); !ok {
+		log.Warn("workers' leases are too long for cancel_s: tasks of cancelled jobs on machines that can't be reached may outlast it", "lease_s", p.Deployment.Workers.Lease,
+			"cancel_s", p.Deployment.Workers.Cancel, "knows_of_cancellations_within", n.bound.Keep)
+	}
+	n.toldBy = map[string]store.Told{}
 	n.router = n.newRouter()
 	n.mail = newMail(n)
 	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns, Sockets: n.sockets, Rules: o.Constraints != nil, RulesNow: n.rulesNow(), Router: n.router}, n.jobs, n, time.Now, log)
@@ -188,6 +201,7 @@
 	n.group.Go(func() error { return n.loop() })
 	n.group.Go(func() error { return n.jobs.Run(n.ctx) })
 	n.group.Go(func() error { return n.watchLeader() })
+	n.group.Go(n.keepReading)
 	if n.mail != nil {
 		n.group.Go(n.mail.flush)
 		n.group.Go(n.mail.answers)
@@ -251,7 +265,12 @@
 		}
 		n.first()
 		now := time.Now()
+		n.inform(now)
 		n.elected(now, n.elect.Step(now, election.Tick{}))
+		if n.ignorant(now) && len(n.peers) > 0 {
+			n.log.Warn("the records cannot be read, stepping down")
+			n.elected(now, n.elect.Step(now, election.Resign{}))
+		}
 		wake := n.elect.Wake()
 		if n.core != nil && n.right.Load().holds() {
 			n.core.Still(!n.right.Load().mayStart(now))
@@ -421,7 +440,7 @@
 		case election.Deposed:
 			n.right.Store(nil) // before anybody may hear of it
 			n.term++
-			n.core = nil
+			n.core, n.book = nil, nil
 			n.share(false)
 		}
 	}
@@ -494,6 +513,7 @@
 						// Read in the loop: no change of a job can come in between.
 						n.jobs.Snapshot(snap)
 						n.core = control.New(now, n.set, e.Token, snap, n.Types(), n.log)
+						n.informed(now)
 					}
 					started <- true
 				})
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -5,35 +5,38 @@
 	"time"
 
 	"github.com/glentiller/glentiller/internal/admin"
-	"github.com/glentiller/glentiller/internal/control"
 	"github.com/glentiller/glentiller/internal/election"
-	"github.com/glentiller/glentiller/internal/model"
 	"github.com/glentiller/glentiller/internal/peer/peerpb"
+	"github.com/glentiller/glentiller/internal/store"
 )
 
 // promiseWait bounds how long a promise may take to come.
 const promiseWait = time.Second
 
 // served is by how much longer than a leader this controller may have been answered by the
-// state service and still promise it anything. What lies between is a leader that alone is
-// out of reach: another had better lead.
+// state service and still promise it anything, as long as it is served. What lies between is a leader that alone is
+// out of reach: another had better lead. Where the state service is down for this one too, nobody
+// can take over, and what runs would die for it.
 const served = 2 * time.Second
 
 // askPromises asks all other members for their promise.
 func (n *Node) askPromises(term uint64, e election.AskPromises) {
 	token := e.Token
-	q := &peerpb.PromiseAsk{Member: n.plat.Member, Token: token, Revision: n.jobs.Revision(), Seq: e.Seq, ForMs: uint64(e.For.Milliseconds()), Instead: e.Instead}
 	now := time.Now()
+	var silent uint64
 	if at := n.state.Contact(); !at.IsZero() {
-		q.SilentMs = uint64(now.Sub(at).Milliseconds())
+		silent = uint64(now.Sub(at).Milliseconds())
 	}
-	for _, c := range n.peers {
+	for name, c := range n.peers {
+		told := n.toldBy[name]
+		q := &peerpb.PromiseAsk{Member: n.plat.Member, Token: token, Revision: n.jobs.Revision(), SilentMs: silent, Seq: e.Seq, ForMs: uint64(e.For.Milliseconds()), Instead: e.Instead,
+			Words: true, ToldLife: told.Life, Told: told.Count}
 		n.spawn(func() {
 			ctx, cancel := context.WithTimeout(n.ctx, promiseWait)
 			defer cancel()
 			sent := time.Now()
 			a, err := c.Promise(ctx, q)
-			if err != nil || !a.GetGranted() {
+			if err != nil {
 				return
 			}
 			n.postFirst(func(time.Time) {
@@ -44,13 +47,11 @@
 				// against a promise that is taken after the right has lapsed, since the
 				// process was held up in between.
 				now := time.Now()
-				// What the other one knows to be cancelled comes before what its promise
-				// allows: docs/safety.md, "Promises".
-				for _, id := range a.GetCancelled() {
-					n.step(now, control.JobEnded{ID: id, End: model.EndCancelled})
+				n.hear(now, sent, name, a)
+				if a.GetGranted() {
+					n.elected(now, n.elect.Step(now, election.PromiseBack{Member: a.GetMember(), Token: token, Sent: sent,
+						Seq: e.Seq, For: time.Duration(a.GetForMs()) * time.Millisecond}))
 				}
-				n.elected(now, n.elect.Step(now, election.PromiseBack{Member: a.GetMember(), Token: token, Sent: sent,
-					Seq: e.Seq, For: time.Duration(a.GetForMs()) * time.Millisecond}))
 			})
 		})
 	}
@@ -127,9 +128,15 @@
 		case q.GetRelease():
 			n.elect.Released(q.GetToken())
 		case ctx.Err() == nil:
-			var long time.Duration
-			long, a.Cancelled = n.promise(now, q)
-			a.Granted, a.ForMs = long > 0, uint64(long.Milliseconds())
+			w := n.jobs.Word(q.GetRevision(), store.Told{Life: q.GetToldLife(), Count: q.GetTold()})
+			a.Life, a.Told, a.Whole = w.Upto.Life, w.Upto.Count, w.Whole
+			for _, c := range w.Cancelled {
+				a.Cancelled, a.Versions = append(a.Cancelled, c.ID), append(a.Versions, c.Version)
+			}
+			if w.Whole || q.GetWords() {
+				long := n.promise(now, q)
+				a.Granted, a.ForMs = long > 0, uint64(long.Milliseconds())
+			}
 		}
 		return a
 	})
@@ -141,21 +148,16 @@
 
 // promise decides whether this member promises a leader not to claim, and for how long; 0: it
 // does not.
-func (n *Node) promise(now time.Time, q *peerpb.PromiseAsk) (long time.Duration, cancelled []string) {
+func (n *Node) promise(now time.Time, q *peerpb.PromiseAsk) time.Duration {
 	// One that has not read the records since its start may have told users of
 	// cancellations, in an earlier life, that the leader does not know.
 	if n.jobs.Revision() == 0 {
-		return 0, nil
+		return 0
 	}
 	silent := time.Duration(q.GetSilentMs()) * time.Millisecond
-	if at := n.state.Contact(); at.Sub(now.Add(-silent)) > served {
-		return 0, nil
-	}
-	cancelled, all := n.jobs.CancelledSince(q.GetRevision())
-	if !all {
-		return 0, nil
+	if at := n.state.Contact(); at.Sub(now.Add(-silent)) > served && n.state.Down(now) == 0 {
+		return 0
 	}
-	long = n.elect.Promise(now, election.Question{Leader: q.GetMember(), Token: q.GetToken(), Seq: q.GetSeq(), Instead: q.GetInstead(),
+	return n.elect.Promise(now, election.Question{Leader: q.GetMember(), Token: q.GetToken(), Seq: q.GetSeq(), Instead: q.GetInstead(),
 		For: time.Duration(min(q.GetForMs(), uint64(time.Minute.Milliseconds()))) * time.Millisecond})
-	return long, cancelled
 }
--- a/internal/node/right.go
+++ b/internal/node/right.go
@@ -14,9 +14,18 @@
 	lease          time.Time // until when it rests on the lease at the state service
 	promised       time.Time // and until when on the promises of the other members
 	starts         time.Time // and until when tasks are started by those
+	informed       time.Time // until when it may act at all by what it knows of cancellations
+	news           time.Time // and until when it may start tasks by that
 }
 
-func (r *right) until() time.Time { return latest(r.lease, r.promised) }
+func (r *right) until() time.Time { return earliest(latest(r.lease, r.promised), r.informed) }
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
 
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
@@ -30,7 +39,7 @@
 
 // mayStart tells that tasks may be started: docs/safety.md, "Promises for longer".
 func (r *right) mayStart(now time.Time) bool {
-	return r != nil && now.Before(latest(r.lease, r.starts))
+	return r != nil && now.Before(earliest(latest(r.lease, r.starts), r.news))
 }
 
 func (r *right) holds() bool { return r != nil && time.Now().Before(r.until()) }
@@ -51,7 +60,7 @@
 	}
 	for {
 		old := n.right.Load()
-		r := &right{n.elect.Token(), n.elect.Version(), n.elect.LeaseUntil(), n.elect.RightUntil(), n.elect.StartsUntil()}
+		r := &right{token: n.elect.Token(), version: n.elect.Version(), lease: n.elect.LeaseUntil(), promised: n.elect.RightUntil(), starts: n.elect.StartsUntil()}
 		if old != nil && old.token == r.token {
 			// Of the lease a renewal beside the loop may have shown more. Of promises the
 			// election has the last word: it waives some.
@@ -60,6 +69,7 @@
 				n.log.Info("right to act", "token", r.token, "on_promises", r.onPromises(now), "until", r.until().Sub(now))
 			}
 		}
+		n.cap(now, r)
 		if !n.right.CompareAndSwap(old, r) {
 			continue // a renewal came in between
 		}
--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -74,14 +74,20 @@
 	keep   int
 	notify func([]JobChange)
 
-	mu     sync.Mutex
-	rev    uint64 // the view holds all changes up to here
-	loaded bool
-	active map[string]JobView
-	ended  map[string]JobView
-	fifo   []string // ended jobs, oldest first
-	graph  *model.Graph
-	parts  map[string][]string // of lists of awaited jobs, by key
+	life uint64 // names this life of the process
+
+	mu      sync.Mutex
+	rev     uint64 // the view holds all changes up to here
+	base    uint64 // and from here on, since its first reading, this life has learned of them; an earlier one may have told users of ends before
+	loaded  bool
+	asOf    time.Time // the view holds all that was on record then
+	active  map[string]JobView
+	ended   map[string]JobView
+	fifo    []string // ended jobs, in the order in which they were learned of
+	first   uint64   // the number of the first of them; they are numbered from 0 in a life
+	dropped uint64   // the highest version of those that were let go
+	graph   *model.Graph
+	parts   map[string][]string // of lists of awaited jobs, by key
 
 	batch *syncBatch
 	busy  bool
@@ -93,11 +99,11 @@
 	err  error
 }
 
-// NewJobs makes an empty view. notify is told of changes, in order, and must
-// not call back.
-func NewJobs(c *Client, keep int, limits Limits, notify func([]JobChange), log *slog.Logger) *Jobs {
+// NewJobs makes an empty view. life is a number that no other life of the process has drawn.
+// notify is told of changes, in order, and must not call back.
+func NewJobs(c *Client, life uint64, keep int, limits Limits, notify func([]JobChange), log *slog.Logger) *Jobs {
 	limits.Value = min(limits.Value, mostTxn)
-	return &Jobs{c: c, log: log, limits: limits, keep: keep, notify: notify, active: map[string]JobView{}, ended: map[string]JobView{},
+	return &Jobs{c: c, log: log, limits: limits, life: life, keep: keep, notify: notify, active: map[string]JobView{}, ended: map[string]JobView{},
 		graph: model.NewGraph(), parts: map[string][]string{}}
 }
 
@@ -120,18 +126,10 @@
 }
 
 func (j *Jobs) follow(ctx context.Context) error {
-	j.mu.Lock()
-	rev, loaded := j.rev, j.loaded
-	j.mu.Unlock()
-	if !loaded {
+	if !j.Loaded() {
 		return j.load(ctx)
 	}
-	p, err := j.c.Changes(ctx, jobPrefix, rev, watchTime)
-	if err != nil {
-		return j.failed(err)
-	}
-	j.apply(p)
-	return nil
+	return j.read(ctx, watchTime)
 }
 
 // watchTime is how long one watch waits for a change.
@@ -149,6 +147,7 @@
 
 // load reads all unfinished jobs. Ended ones are looked up when somebody asks.
 func (j *Jobs) load(ctx context.Context) error {
+	sent := j.c.now()
 	entries, rev, err := j.c.List(ctx, activePrefix)
 	if err != nil {
 		return err
@@ -183,7 +182,10 @@
 			changes = append(changes, JobChange{id, JobView{State: wire.StateUnknown}})
 		}
 	}
-	j.active, j.rev, j.loaded = active, rev, true
+	if j.asOf.IsZero() {
+		j.base = rev
+	}
+	j.active, j.rev, j.loaded, j.asOf = active, rev, true, sent
 	j.graph = model.NewGraph()
 	for id, v := range active {
 		j.enter(id, v)
@@ -246,11 +248,29 @@
 	return v, true
 }
 
-// apply takes a batch of changes. A batch that overlaps what is known already
-// does no harm: versions only grow, and an ended job stays ended.
-func (j *Jobs) apply(p wire.Page) {
+// read reads and applies the changes since the view's revision, waiting for one up to the given time.
+func (j *Jobs) read(ctx context.Context, wait time.Duration) error {
+	j.mu.Lock()
+	rev := j.rev
+	j.mu.Unlock()
+	sent := j.c.now()
+	p, err := j.c.Changes(ctx, jobPrefix, rev, wait)
+	if err == nil {
+		j.apply(p, sent)
+	}
+	return j.failed(err)
+}
+
+// apply takes a batch of changes that was asked for at a moment. A batch that overlaps what is
+// known already does no harm: versions only grow, and an ended job stays ended.
+func (j *Jobs) apply(p wire.Page, sent time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	defer func() {
+		if sent.After(j.asOf) {
+			j.asOf = sent
+		}
+	}()
 	if p.Revision <= j.rev {
 		return
 	}
@@ -303,8 +323,20 @@
 	}
 	j.ended[id] = v
 	for len(j.fifo) > j.keep {
+		j.dropped = max(j.dropped, j.ended[j.fifo[0]].Version)
 		delete(j.ended, j.fifo[0])
-		j.fifo = j.fifo[1:]
+		j.fifo, j.first = j.fifo[1:], j.first+1
+	}
+}
+
+// learned is remember for an end that did not come with the changes. The core of a leader is told at
+// once. Guards against a leader whose own answer to its user is all that it hears of a
+// cancellation, since the state service is silent from then on.
+func (j *Jobs) learned(id string, v JobView) {
+	_, open := j.active[id]
+	j.remember(id, v)
+	if open {
+		j.notify([]JobChange{{id, v}})
 	}
 }
 
@@ -336,24 +368,71 @@
 	return j.rev
 }
 
-// The bounds of what is told to a leader that cannot read the records itself.
-const (
-	mostTold   = 256
-	mostLooked = 4096 // more ends than any controller learns of while such a leader may act
-)
+// AsOf is a moment as of which the view holds all that was on record; zero: it has not been read.
+func (j *Jobs) AsOf() time.Time {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.asOf
+}
 
-// CancelledSince lists the jobs that this controller knows to be cancelled in changes after
-// a revision. all is false where it may know of more than it can tell.
-func (j *Jobs) CancelledSince(rev uint64) (ids []string, all bool) {
+// Word is what a member tells a leader of cancellations, so that one that cannot read them itself
+// knows what users were told.
+type Word struct {
+	Cancelled []Cancelled
+	Upto      Told // that the leader is told with it
+	// Whole: with what it was told before, and what it has read, the leader now knows of every
+	// cancellation that this member has told anybody of, in this life or an earlier one.
+	Whole bool
+}
+
+// Cancelled is a job that was cancelled in a change.
+type Cancelled struct {
+	ID      string
+	Version uint64
+}
+
+// Told is how far a leader was told of what one life of a member has learned.
+type Told struct {
+	Life, Count uint64
+}
+
+// mostTold bounds the cancellations of one word; more follow with the next one.
+const mostTold = 256
+
+// Word lists the jobs that this controller knows to be cancelled, for a leader that has
+// read the records up to a revision and was told some before. They go in the order in which
+// they were learned of, since a job that was cancelled long ago may be told of to a user only now.
+func (j *Jobs) Word(rev uint64, told Told) Word {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	from := max(len(j.fifo)-mostLooked, 0)
-	for _, id := range j.fifo[from:] {
-		if v := j.ended[id]; v.Version > rev && v.State == wire.StateCancelled {
-			ids = append(ids, id)
+	from := j.first
+	if told.Life == j.life && told.Count <= j.first+uint64(len(j.fifo)) {
+		from = max(from, told.Count)
+	}
+	w := Word{Upto: Told{j.life, from}}
+	for _, id := range j.fifo[from-j.first:] {
+		if len(w.Cancelled) == mostTold {
+			return w
+		}
+		if v := j.ended[id]; v.State == wire.StateCancelled && v.Version > rev {
+			w.Cancelled = append(w.Cancelled, Cancelled{id, v.Version})
+		}
+		w.Upto.Count++
+	}
+	w.Whole = !j.asOf.IsZero() && max(j.base, j.dropped) <= rev
+	return w
+}
+
+// Heard takes another member's word.
+func (j *Jobs) Heard(cancelled []Cancelled) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, c := range cancelled {
+		if _, known := j.ended[c.ID]; !known {
+			v := j.active[c.ID]
+			j.learned(c.ID, JobView{State: wire.StateCancelled, Tasks: v.Tasks, Version: c.Version})
 		}
 	}
-	return ids, len(ids) < mostTold
 }
 
 // Peek tells what is known of a job without asking anybody.
@@ -405,7 +484,7 @@
 		v := j.Peek(id)
 		if !v.State.Ended() {
 			var err error
-			if v, err = j.read(ctx, id); err != nil {
+			if v, err = j.get(ctx, id); err != nil {
 				j.log.Debug("end of an awaited job", "id", id, "err", err)
 				break
 			}
@@ -469,16 +548,7 @@
 }
 
 // CatchUp reads and applies the changes since the view's revision.
-func (j *Jobs) CatchUp(ctx context.Context) error {
-	j.mu.Lock()
-	rev := j.rev
-	j.mu.Unlock()
-	p, err := j.c.Changes(ctx, jobPrefix, rev, 0)
-	if err == nil {
-		j.apply(p)
-	}
-	return j.failed(err)
-}
+func (j *Jobs) CatchUp(ctx context.Context) error { return j.read(ctx, 0) }
 
 // Lookup tells the present state of a job. A final state that is remembered is
 // answered at once; anything else is brought up to the present. A job behind a
@@ -498,7 +568,7 @@
 		}
 		// Not among the unfinished ones: it has ended, or nobody has submitted it,
 		// or it was accepted since.
-		v, err := j.read(ctx, id)
+		v, err := j.get(ctx, id)
 		if err != nil || v.Spec == nil {
 			return v, err
 		}
@@ -549,13 +619,13 @@
 	if known {
 		return true, nil
 	}
-	v, err := j.read(ctx, id)
+	v, err := j.get(ctx, id)
 	return v.State.Ended(), err
 }
 
-// read looks a job up with the state service. It reads the active record first:
+// get looks a job up with the state service. It reads the active record first:
 // a job only ever moves from there to the ended ones.
-func (j *Jobs) read(ctx context.Context, id string) (JobView, error) {
+func (j *Jobs) get(ctx context.Context, id string) (JobView, error) {
 	e, ok, err := j.c.Get(ctx, activePrefix+id)
 	if err != nil {
 		return JobView{}, err
@@ -577,7 +647,7 @@
 		return JobView{}, err
 	}
 	j.mu.Lock()
-	j.remember(id, v)
+	j.learned(id, v)
 	j.mu.Unlock()
 	return v, nil
 }
@@ -718,7 +788,7 @@
 		if v := j.Peek(id); v.State.Ended() {
 			return v, nil
 		}
-		v, err := j.read(ctx, id)
+		v, err := j.get(ctx, id)
 		if err != nil || v.State.Ended() || v.State == wire.StateUnknown {
 			return v, err
 		}
@@ -731,7 +801,7 @@
 		if err == nil && ok {
 			v := JobView{State: wire.StateCancelled, Tasks: v.Tasks, Version: rev, At: now}
 			j.mu.Lock()
-			j.remember(id, v)
+			j.learned(id, v)
 			j.mu.Unlock()
 			return v, nil
 		}
--- a/internal/store/limits_test.go
+++ b/internal/store/limits_test.go
@@ -63,7 +63,7 @@
 func TestALongListKeepsWithinATransaction(t *testing.T) {
 	s, c := service()
 	s.MostValue, s.MostOps = 16<<10, 12
-	jobs := store.NewJobs(c, 10, store.Limits{Value: 16 << 10, Ops: 12}, func([]store.JobChange) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	jobs := store.NewJobs(c, 1, 10, store.Limits{Value: 16 << 10, Ops: 12}, func([]store.JobChange) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	spec := &model.Spec{ID: "wk-000001", Class: "c", Team: "t", Shape: model.Array, Rank: model.Normal, Tasks: 1, Need: model.Resources{CPU: 1}}
 	for i := range 7000 { // as many short ids as a submission can hold
 		spec.Awaits = append(spec.Awaits, fmt.Sprintf("wk-%06d", i))
@@ -81,7 +81,7 @@
 		for _, types := range []int{0, 20, 64} {
 			for _, needs := range []int{0, 30, 300, 1400} {
 				s, c := service()
-				jobs := store.NewJobs(c, 10, limits, func([]store.JobChange) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				jobs := store.NewJobs(c, 1, 10, limits, func([]store.JobChange) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 				if err := jobs.Refresh(context.Background()); err != nil {
 					t.Fatal(err)
 				}
