A transaction without an answer is void before the next one leaves: a fence

Cause: saves were repeated as they were until one was answered, and nothing kept a copy that was not answered from being carried out seconds later, after newer ones of the same leader. A story shows a late record of finished tasks that undoes a newer one, so that the next leader runs what was done once more (4 starts of 3 tasks), and a record of a machine that comes back after the machine is gone.

The stand-ins tell an open outcome from one that was not carried out.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -109,6 +109,7 @@
 
 	saves     []Save
 	saving    bool
+	fence     bool // a transaction without an answer may yet be carried out
 	lone      bool // the last transaction held one save
 	saveAt    time.Time
 	dirtyJobs map[string]bool
@@ -282,6 +283,8 @@
 		c.returnBack(now, ev)
 	case SaveBack:
 		c.saveBack(now, ev)
+	case FenceBack:
+		c.fenceBack(now, ev)
 	case AccountsIn:
 		c.accountsIn(now, ev)
 	case PagesIn:
@@ -529,6 +532,11 @@
 	if c.saving || len(c.saves) == 0 || now.Before(c.saveAt) {
 		return
 	}
+	if c.fence {
+		c.saving = true
+		c.emit(Fence{})
+		return
+	}
 	first, other := -1, -1
 	for i := range c.saves {
 		s := &c.saves[i]
@@ -587,7 +595,8 @@
 		// Every save may be repeated: it writes whole values, under the condition
 		// that this leader's token is still the last one.
 		c.saves = append(ev.Saves, c.saves...)
-		c.saveAt = now.Add(300 * time.Millisecond)
+		c.saveAt = now.Add(saveRetry)
+		c.fence = c.fence || ev.Outcome == Unknown
 		return
 	case Rejected:
 		c.rejected(now, ev.Saves)
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -86,6 +86,9 @@
 		Outcome Outcome
 		Version uint64 // OK: of the records that were written
 	}
+	// FenceBack: what this leader has sent before and was not answered is never carried out
+	// any more (OK), or that is not known yet.
+	FenceBack struct{ Outcome Outcome }
 	// AccountsIn: accounts whose settlement is in doubt, as they are on record; of
 	// those that could be read.
 	AccountsIn struct{ Accounts map[string]ledger.OnRecord }
@@ -108,6 +111,7 @@
 func (RentBack) controlEvent()    {}
 func (ReturnBack) controlEvent()  {}
 func (SaveBack) controlEvent()    {}
+func (FenceBack) controlEvent()   {}
 func (AccountsIn) controlEvent()  {}
 func (PagesIn) controlEvent()     {}
 
@@ -192,6 +196,8 @@
 	LookUp struct{ IDs []string }
 	// Commit saves records in one transaction.
 	Commit struct{ Saves []Save }
+	// Fence has nothing carried out any more that was sent before and not answered.
+	Fence struct{}
 	// ReadAccounts asks for accounts as they are on record.
 	ReadAccounts struct{ Teams []string }
 	// ReadPages asks for the oldest closed pages of a team's account.
@@ -206,6 +212,7 @@
 func (Catalog) controlEffect() {}
 func (LookUp) controlEffect()  {}
 func (Commit) controlEffect()  {}
+func (Fence) controlEffect()   {}
 
 func (ReadAccounts) controlEffect() {}
 func (ReadPages) controlEffect()    {}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -81,6 +81,8 @@
 	}
 	// Fenced: a transaction of this leader failed on the token's version.
 	Fenced struct{ Token uint64 }
+	// Rewritten: this leader has written its token's record anew.
+	Rewritten struct{ Token, Version uint64 }
 	// Resign: step down in order.
 	Resign struct{}
 	// Raising: this member has seen that the level may be raised to this by the next claim; 0: no
@@ -113,6 +115,9 @@
 func (Touched) electionEvent() {}
 func (Fenced) electionEvent()  {}
 func (Resign) electionEvent()  {}
+
+func (Rewritten) electionEvent() {}
+
 func (Raising) electionEvent() {}
 
 func (PromiseBack) electionEvent() {}
@@ -312,6 +317,10 @@
 			m.log.Warn("another leader has taken over")
 			return m.depose(now)
 		}
+	case Rewritten:
+		if m.state == Leading && ev.Token == m.token {
+			m.version = max(m.version, ev.Version)
+		}
 	case Resign:
 		if m.state == Leading {
 			m.holdOff = now.Add(2 * m.set.Life)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -791,8 +791,10 @@
 		case errors.Is(err, store.ErrRejected):
 			ev.Outcome = control.Rejected
 			w.Rejected = append(w.Rejected, store.Keys(e.Saves)...)
-		case err != nil:
+		case errors.Is(err, store.ErrNotExecuted):
 			ev.Outcome = control.NotSent
+		case err != nil:
+			ev.Outcome = control.Unknown
 		case !ok:
 			ev.Outcome = control.Refused
 			if last, err := c.State.StillLast(context.Background(), c.ver); err == nil && !last {
@@ -800,6 +802,18 @@
 			}
 		}
 		back(ev)
+	case control.Fence:
+		v, ok, err := c.State.Rewrite(context.Background(), c.Member, token, c.ver)
+		switch {
+		case err != nil:
+			back(control.FenceBack{Outcome: control.Unknown})
+		case !ok:
+			c.election(election.Fenced{Token: token})
+		default:
+			c.ver = v
+			c.election(election.Rewritten{Token: token, Version: v})
+			back(control.FenceBack{Outcome: control.OK})
+		}
 	case control.ReadAccounts:
 		ev := control.AccountsIn{Accounts: map[string]ledger.OnRecord{}}
 		for _, team := range e.Teams {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -658,6 +658,26 @@
 			}
 			n.back(term, ev)
 		})
+	case control.Fence:
+		n.spawn(func() {
+			v, ok, err := n.state.Rewrite(n.ctx, n.plat.Member, r.token, r.version)
+			if err != nil {
+				n.log.Debug("fence", "err", err)
+				n.back(term, control.FenceBack{Outcome: control.Unknown})
+				return
+			}
+			if !ok {
+				n.election(election.Fenced{Token: r.token})
+				return
+			}
+			n.log.Info("transactions without an answer are void", "token", r.token, "version", v)
+			n.post(func(now time.Time) {
+				if n.term == term {
+					n.elected(now, n.elect.Step(now, election.Rewritten{Token: r.token, Version: v}))
+					n.step(now, control.FenceBack{Outcome: control.OK})
+				}
+			})
+		})
 	case control.ReadAccounts:
 		n.spawn(func() {
 			ev := control.AccountsIn{Accounts: map[string]ledger.OnRecord{}}
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -266,6 +267,31 @@
 	return out
 }
 
+// Rewrite writes the record of a leader's token anew, under the version that it has: what was sent under
+// that version, and is carried out later, fails. It gives the version to go on with. Where the
+// outcome is open the record tells: only this leader writes it without another token.
+func (c *Client) Rewrite(ctx context.Context, member string, token, tokenVersion uint64) (version uint64, ok bool, err error) {
+	v, ok, err := c.Commit(ctx, &wire.Txn{If: []wire.Cond{{Key: tokenKey, Version: tokenVersion}},
+		Then: []wire.Change{{Key: tokenKey, Value: wire.AppendToken(nil, token, member)}}}, false)
+	if err == nil && ok || errors.Is(err, ErrNotExecuted) {
+		return v, ok, err
+	}
+	e, found, gerr := c.Get(ctx, tokenKey)
+	if gerr != nil {
+		return 0, false, gerr
+	}
+	last, _, gerr := wire.DecodeToken(e.Value)
+	switch {
+	case gerr != nil:
+		return 0, false, gerr
+	case !found || last != token:
+		return 0, false, nil // another leader has taken over
+	case e.Version == tokenVersion:
+		return 0, false, errors.Join(err, errors.New("not carried out yet"))
+	}
+	return e.Version, true, nil
+}
+
 // StillLast tells whether a token's record is unchanged.
 func (c *Client) StillLast(ctx context.Context, tokenVersion uint64) (bool, error) {
 	e, ok, err := c.Get(ctx, tokenKey)
