rehearse meetings: two or three troubles at a time, and what users are told of jobs

The stand-ins learn machines that hang, members that stand still, and commands that arrive when a machine goes on; the time of a cancellation is that of the first word.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -88,12 +88,16 @@
 
 // Run plays and tells what was found.
 func (c *troublesCmd) Run() error {
+	return c.play("runs", func() *troubles.Result { return troubles.Play(c.Machines, c.Runs, c.Seed, c.AtOnce) })
+}
+
+func (c *troublesCmd) play(what string, play func() *troubles.Result) error {
 	if c.Machines < 10 || c.Machines > 2000 || c.Runs < 1 || c.AtOnce < 1 {
 		return errors.New("--machines: from 10 to 2000; --runs, --at-once: from 1 on")
 	}
-	r := troubles.Play(c.Machines, c.Runs, c.Seed, c.AtOnce)
+	r := play()
 	if !c.JSON {
-		fmt.Printf("%d runs with %d machines: %d rules broken, %d jobs forgotten, %d tasks killed by their lease\n", r.Runs, c.Machines, r.Broken, r.Forgotten, r.Killed)
+		fmt.Printf("%d %s with %d machines: %d rules broken, %d jobs forgotten, %d tasks killed by their lease\n", r.Runs, what, c.Machines, r.Broken, r.Forgotten, r.Killed)
 	}
 	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
 		return err
@@ -104,8 +108,21 @@
 	return nil
 }
 
+type meetingsCmd struct {
+	troublesCmd
+	Break string `default:"" enum:",knows,tokens,leases" help:"A part to leave out: the bound on what a leader knows of cancellations, workers' tokens, or leases as they are."`
+}
+
+// Run plays and tells what was found.
+func (c *meetingsCmd) Run() error {
+	return c.play("runs", func() *troubles.Result {
+		return troubles.Meet(c.Machines, c.Runs, c.Seed, c.AtOnce, troubles.Break(c.Break))
+	})
+}
+
 func main() {
 	var cli struct {
+		Meetings meetingsCmd `cmd:"" help:"Play two or three troubles at a time that meet, with cancellations and tasks that outlast them."`
 		Troubles troublesCmd `cmd:"" help:"Play machines that do not hear, late copies, members cut off and lives a blink apart."`
 		Election electionCmd `cmd:"" help:"Play the election through every course that some faults can take."`
 		Ledger   ledgerCmd   `cmd:"" help:"Play a week and compare the ledger with what the stand-ins saw."`
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -35,6 +35,7 @@
 	Tasks   map[model.AttemptKey]*Task
 	Cut     bool // neither reports nor commands get through
 	Mute    bool // its reports get through, but neither answers nor commands reach it
+	Hung    bool // does nothing; its lease runs on
 	Sick    bool // fails every task
 	Notice  time.Duration
 	Slow    time.Duration // how much longer its fetches take
@@ -60,7 +61,7 @@
 // accept takes a token; a lower one is refused.
 func (k *Worker) accept(token uint64) bool {
 	if token < k.Token {
-		return false
+		return k.w.AnyToken
 	}
 	if token > k.Token {
 		k.Token, k.changed = token, true
@@ -147,6 +148,12 @@
 		k.Tasks = map[model.AttemptKey]*Task{}
 		k.renewed, k.changed = now, true
 	}
+	if k.Hung {
+		for _, t := range k.Tasks {
+			t.until = t.until.Add(k.w.Tick)
+		}
+		return
+	}
 	for _, t := range k.Tasks {
 		if t.Phase == model.Exited || now.Before(t.until) && t.Phase != model.Waiting {
 			continue
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -49,14 +49,16 @@
 	Net  func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction on its way; !ok: nothing. Nil: nothing ever
 	Ear  Ear                                                   // nil: nobody listens
 
-	Apart bool // controllers do not reach each other
-
-	Capacity  int  // machines that the cloud has at once; 0: any number
-	CloudMute bool // the cloud carries requests out, but its answers are lost
-	CloudFull bool // returns wait in the cloud's queue until this ends
-	Returns   int  // requests to return machines
-	Commands  int  // requests straight to workers
-	Killed    int  // tasks that ended with their worker's lease
+	Apart    bool // controllers do not reach each other
+	AnyToken bool // workers take orders under any token: a fault of theirs, to show that checks can fail
+
+	Capacity  int           // machines that the cloud has at once; 0: any number
+	CloudMute bool          // the cloud carries requests out, but its answers are lost
+	CloudFull bool          // returns wait in the cloud's queue until this ends
+	Returns   int           // requests to return machines
+	Commands  int           // requests straight to workers
+	Killed    int           // tasks that ended with their worker's lease
+	Gone      time.Duration // the longest from the word that a job is cancelled to the end of its last task
 	queue     []func()
 	rented    map[string][]string
 	booting   map[string]bootingMachine
@@ -118,6 +120,7 @@
 	NoNet  bool          // cut off from the state service
 	NoRead bool          // its reads are not answered by the state service; all else is
 	Alone  bool          // cut off from the other controllers
+	Frozen bool          // stands still while its clocks run on
 	Deaf   bool          // cut off from the workers
 	Old    bool          // plays a version without a ledger, from its next start on
 	Before bool          // plays a program from before levels
@@ -198,7 +201,7 @@
 
 // Start starts a controller with nothing in memory.
 func (c *Controller) Start() {
-	c.Up, c.Core, c.book, c.held = true, nil, nil, false
+	c.Up, c.Core, c.book, c.held, c.Frozen = true, nil, nil, false, false
 	c.toldBy = map[string]store.Told{}
 	c.w.lives++
 	c.State = store.NewOver(c, c, time.Second)
@@ -213,7 +216,7 @@
 		c.set.Ledger = &own
 	}
 	c.Jobs = store.NewJobs(c.State, c.w.lives, c.w.Keep, c.w.Limits, func(ch []store.JobChange) { c.changes = append(c.changes, ch...) }, c.log)
-	c.State.SetClock(func() time.Time { return c.w.now })
+	c.State.SetClock(func() time.Time { return c.w.now }, func(time.Duration) {})
 	c.esets.Others = nil
 	for _, o := range c.w.Controllers {
 		if o != c {
@@ -313,6 +316,13 @@
 	return names
 }
 
+// Elect has a controller take an event of its election.
+func (w *World) Elect(c *Controller, ev election.Event) {
+	if c.Up {
+		c.election(ev)
+	}
+}
+
 // Late has a copy of an earlier report arrive at whoever leads, or at a controller of the caller's
 // choice. Nobody waits for its answer.
 func (w *World) Late(c *Controller, r *model.Report) {
@@ -325,7 +335,7 @@
 func (w *World) Blink(k *Worker) {
 	w.Workers[k.Name] = nil
 	n := w.AddMachine(model.Listed{Machine: k.Name, Type: k.Type, Zone: k.Zone, Spot: k.Spot})
-	n.target, n.Mute, n.Cut, n.Sick, n.Slow = k.target, k.Mute, k.Cut, k.Sick, k.Slow
+	n.target, n.Mute, n.Cut, n.Hung, n.Sick, n.Slow = k.target, k.Mute, k.Cut, k.Hung, k.Sick, k.Slow
 }
 
 // AddMachine brings a machine up.
@@ -353,7 +363,7 @@
 // Cancel cancels a job through a controller.
 func (w *World) Cancel(c *Controller, id string) (store.JobView, error) {
 	v, err := c.Jobs.Cancel(context.Background(), id, w.now)
-	if err == nil && v.State.Ended() && !w.allDone(id) {
+	if _, told := w.Cancelled[id]; err == nil && !told && v.State.Ended() && !w.allDone(id) {
 		w.Cancelled[id] = w.now
 	}
 	return v, err
@@ -409,8 +419,11 @@
 			if !t.Spec.Spot && k.Spot || !t.Spec.AllowsType(k.Type) {
 				w.broken("wrong_place: %v on %s", t.ID, n)
 			}
-			if at, ok := w.Cancelled[t.ID.Job]; ok && w.now.Sub(at) > w.CancelIn {
-				w.broken("ran_cancelled: %v on %s", t.ID, n)
+			if at, ok := w.Cancelled[t.ID.Job]; ok {
+				w.Gone = max(w.Gone, w.now.Sub(at))
+				if w.now.Sub(at) > w.CancelIn {
+					w.broken("ran_cancelled: %v on %s", t.ID, n)
+				}
 			}
 		}
 	}
@@ -463,7 +476,7 @@
 }
 
 func (c *Controller) report(r *model.Report, handed bool) (verdict, bool) {
-	if !c.Leads() || c.Deaf {
+	if !c.Leads() || c.Deaf || c.Frozen {
 		return verdict{}, false
 	}
 	v, ok := verdict{token: c.token}, true
@@ -476,7 +489,7 @@
 }
 
 func (c *Controller) step() {
-	if !c.Up {
+	if !c.Up || c.Frozen {
 		return
 	}
 	later := c.later
@@ -594,7 +607,7 @@
 						c.Jobs.Heard(word.Cancelled)
 						c.applyChanges()
 						c.toldBy[o.Member] = word.Upto
-						if word.Whole {
+						if word.Whole && c.book != nil {
 							c.book.Told(o.Member, sent)
 						}
 						if long > 0 {
@@ -715,7 +728,7 @@
 			if k == nil || w.Workers[e.Machine] != k { // a later life knows nothing of its connections
 				return control.Unknown, nil
 			}
-			if token < k.Token || e.Session != k.Session {
+			if token < k.Token && !w.AnyToken || e.Session != k.Session {
 				return control.Refused, k.report()
 			}
 			k.accept(token)
@@ -730,6 +743,8 @@
 		case w.Hold, fate == Held:
 			w.Held = append(w.Held, func() { deliver() })
 		case fate == Lost:
+		case k != nil && k.Hung:
+			w.Held = append(w.Held, func() { deliver() }) // it is carried out when the machine goes on
 		case k != nil && !k.Cut && !k.Mute && !c.Deaf && c.Leads():
 			if len(e.Orders) > 0 && w.Copies > 0 {
 				w.Again = append(w.Again[max(0, len(w.Again)-w.Copies):], Again{w.now, func() { deliver() }})
--- a/internal/rehearse/troubles/play.go
+++ b/internal/rehearse/troubles/play.go
@@ -20,6 +20,7 @@
 	"github.com/glentiller/glentiller/internal/fake"
 	"github.com/glentiller/glentiller/internal/hearing"
 	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/wire"
 )
 
 // Result sums up runs; times are in seconds.
@@ -35,16 +36,27 @@
 	Killed    int      `json:"killed_tasks"`     // by their workers' leases
 	Least     float64  `json:"least_served"`     // the least part of a class, a team or a class's largest jobs that began
 	Begin     float64  `json:"largest_begin_s"`  // the latest beginning of one of the largest quarter of a class
-	What      []string `json:"what,omitempty"`   // the first broken rules
+	Gone      float64  `json:"cancelled_gone_s"` // the longest from the word that a job is cancelled to the end of its last task
+	Met       Met      `json:"by_meeting,omitempty"`
+	What      []string `json:"what,omitempty"` // the first broken rules
 }
 
+// Met counts how often two troubles met: at the same time, or within seconds.
+type Met map[string]int
+
 // Good tells whether no rule was broken and nothing forgotten.
 func (r *Result) Good() bool { return r.Broken == 0 && r.Forgotten == 0 }
 
 func (r *Result) add(o *Result) {
 	r.Runs += o.Runs
 	r.Broken, r.Forgotten, r.Missed, r.Killed = r.Broken+o.Broken, r.Forgotten+o.Forgotten, r.Missed+o.Missed, r.Killed+o.Killed
-	r.Longest, r.Deaf, r.Begin, r.Least = max(r.Longest, o.Longest), max(r.Deaf, o.Deaf), max(r.Begin, o.Begin), min(r.Least, o.Least)
+	r.Longest, r.Deaf, r.Begin, r.Least, r.Gone = max(r.Longest, o.Longest), max(r.Deaf, o.Deaf), max(r.Begin, o.Begin), min(r.Least, o.Least), max(r.Gone, o.Gone)
+	for pair, n := range o.Met {
+		if r.Met == nil {
+			r.Met = Met{}
+		}
+		r.Met[pair] += n
+	}
 	if o.DeafOnes > 0 {
 		r.Mean += (o.Mean - r.Mean) * float64(o.DeafOnes) / float64(r.DeafOnes+o.DeafOnes)
 		r.DeafOnes += o.DeafOnes
@@ -54,12 +66,16 @@
 
 // Play draws runs from a seed on and plays them, some at once.
 func Play(machines, runs int, seed uint64, atOnce int) *Result {
+	return play(runs, seed, atOnce, func(seed uint64) *Result { return one(machines, seed) })
+}
+
+func play(runs int, seed uint64, atOnce int, one func(seed uint64) *Result) *Result {
 	results := make([]*Result, runs)
 	var group errgroup.Group
 	group.SetLimit(atOnce)
 	for i := range runs {
 		group.Go(func() error {
-			results[i] = one(machines, seed+uint64(i))
+			results[i] = one(seed + uint64(i))
 			return nil
 		})
 	}
@@ -100,14 +116,16 @@
 	at, began    time.Time
 	answered     time.Time
 	gone, killed bool
+	asked        bool          // its user has asked to cancel it
+	final        wire.JobState // that a user was told
 }
 
 func (r *run) in(d time.Duration, do func()) { r.plan = append(r.plan, event{r.w.Now().Add(d), do}) }
 
 func (r *run) some(most time.Duration) time.Duration { return time.Duration(r.Int64N(int64(most) + 1)) }
 
-// world is a deployment of three members, two zones and two teams.
-func world(machines int) *fake.World {
+// world is a deployment of some members, two zones and two teams.
+func world(members, machines int) *fake.World {
 	p := &config.Platform{Member: "tiller-0"}
 	d := &p.Deployment
 	d.Zones = []string{"a", "b"}
@@ -120,7 +138,7 @@
 	cpus := 8 * float64(machines)
 	set.Teams = []model.Team{{Name: "red", Guarantee: model.Resources{CPU: cpus / 4}, Limit: model.LimitOf(cpus*3/4, 0)},
 		{Name: "blue", Guarantee: model.Resources{CPU: cpus / 4}}}
-	w := fake.NewWorld(3, set, el, config.Store(p), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	w := fake.NewWorld(members, set, el, config.Store(p), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	w.Tick, w.Fetch, w.Boot, w.Capacity, w.Copies = tick, second, 20*second, machines*5/4, 40*machines
 	w.Types = []model.MachineType{{Name: "eight", Cap: model.Resources{CPU: 8, MemGB: 64}, Price: 1, SpotPrice: 0.3, Boot: 20 * second, Zones: d.Zones}}
 	for i := range machines {
@@ -131,12 +149,19 @@
 
 // one plays one run.
 func one(machines int, seed uint64) *Result {
-	r := &run{Rand: rand.New(rand.NewPCG(seed, 1)), w: world(machines), res: &Result{Runs: 1, Least: 1}, deaf: map[string]time.Time{}, noticed: map[string]bool{}}
+	r := &run{Rand: rand.New(rand.NewPCG(seed, 1)), w: world(3, machines), res: &Result{Runs: 1, Least: 1}, deaf: map[string]time.Time{}, noticed: map[string]bool{}}
 	w := r.w
 	w.Runs = func(id model.TaskID) time.Duration { return 5*second + time.Duration(id.Index%7)*5*second }
 	w.Pass(8 * second)
 	r.draw(machines)
-	start := w.Now()
+	r.through(troubled, after)
+	r.judge()
+	return r.res
+}
+
+// through plays what is planned, and asks about every job all along.
+func (r *run) through(troubled, after time.Duration) {
+	w, start := r.w, r.w.Now()
 	for now := start; now.Sub(start) < troubled+after; now = w.Now() {
 		for i := 0; i < len(r.plan); i++ {
 			if e := r.plan[i]; !now.Before(e.at) {
@@ -156,8 +181,6 @@
 			}
 		}
 	}
-	r.judge()
-	return r.res
 }
 
 // draw plans submissions and troubles.
@@ -191,8 +214,7 @@
 		r.in(r.some(troubled), func() {
 			if len(r.jobs) > 0 {
 				if j := r.jobs[r.IntN(len(r.jobs))]; !j.gone {
-					_, err := w.Cancel(w.Controllers[r.IntN(3)], j.spec.ID)
-					j.gone = err == nil
+					r.cancel(w.Controllers[r.IntN(3)], j)
 				}
 			}
 		})
@@ -283,9 +305,9 @@
 func (r *run) ask(counts bool) {
 	for _, j := range r.jobs {
 		c := r.w.Controllers[r.IntN(len(r.w.Controllers))]
-		if c.Up && !j.gone {
-			if v, err := c.Jobs.Lookup(context.Background(), j.spec.ID); err == nil && v.State != 0 {
-				j.answered = r.w.Now()
+		if c.Up && !c.Frozen {
+			if v, err := c.Jobs.Lookup(context.Background(), j.spec.ID); err == nil {
+				r.told(j, v.State)
 			}
 		}
 		if silent := r.w.Now().Sub(j.answered); counts && !j.gone {
@@ -298,6 +320,42 @@
 	}
 }
 
+// cancel has a job cancelled through a member.
+func (r *run) cancel(c *fake.Controller, j *job) {
+	j.asked = true
+	if v, err := r.w.Cancel(c, j.spec.ID); err == nil {
+		r.told(j, v.State)
+		j.gone = v.State == wire.StateCancelled
+	}
+}
+
+// told takes what a user was told of a job.
+func (r *run) told(j *job, s wire.JobState) {
+	j.answered = r.w.Now()
+	done := 0
+	for i := range j.spec.Tasks {
+		if r.w.Done[model.TaskID{Job: j.spec.ID, Index: i}] {
+			done++
+		}
+	}
+	rule := ""
+	switch {
+	case s == wire.StateUnknown:
+		rule = "forgotten"
+	case j.final != wire.StateUnknown && s != j.final, s == wire.StateCancelled && !j.asked:
+		rule = "went_back"
+	case s == wire.StateDone && done < j.spec.Tasks && (j.spec.Shape != model.Gang || done == 0):
+		rule = "not_done"
+	}
+	if rule != "" {
+		r.res.Broken++
+		r.res.What = append(r.res.What, fmt.Sprintf("%s: %s is told to be %v, was %v, %d of %d tasks are done", rule, j.spec.ID, s, j.final, done, j.spec.Tasks))
+	}
+	if s.Ended() {
+		j.final = s
+	}
+}
+
 // judge counts what was served.
 func (r *run) judge() {
 	groups := map[string][]*job{}
@@ -328,5 +386,6 @@
 			r.res.Begin = max(r.res.Begin, began.Sub(j.at).Seconds())
 		}
 	}
-	r.res.Broken, r.res.What, r.res.Killed = len(r.w.Broken), r.w.Broken, r.w.Killed
+	r.res.Broken, r.res.What = r.res.Broken+len(r.w.Broken), append(r.res.What, r.w.Broken...)
+	r.res.Killed, r.res.Gone = r.w.Killed, r.w.Gone.Seconds()
 }
--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -543,7 +543,7 @@
 		close(b.done)
 		// Guards against polls that use up the budget: submissions, and the watch that
 		// tells of the jobs that they await, then stood in line behind them.
-		time.Sleep(max(syncPause, j.c.Pace()))
+		j.c.pause(max(syncPause, j.c.Pace()))
 	}
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -39,6 +39,7 @@
 	calls, watches Transport
 	reads, writes  *rate.Limiter
 	now            func() time.Time
+	pause          func(time.Duration)
 	timeout        time.Duration
 	goodAt         atomic.Pointer[time.Time] // when a request was answered last, by the steady clock; nil: never
 	badSince       atomic.Int64              // when requests began to fail, in nanoseconds; 0: the last one was answered
@@ -51,12 +52,12 @@
 
 // NewOver makes a client over given transports, one of them for watches.
 func NewOver(calls, watches Transport, timeout time.Duration) *Client {
-	return &Client{calls: calls, watches: watches, timeout: timeout, now: time.Now,
+	return &Client{calls: calls, watches: watches, timeout: timeout, now: time.Now, pause: time.Sleep,
 		reads: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 5)}
 }
 
-// SetClock has the client go by another clock than the machine's.
-func (c *Client) SetClock(now func() time.Time) { c.now = now }
+// SetClock has the client go by another clock than the machine's, and pause as that says.
+func (c *Client) SetClock(now func() time.Time, pause func(time.Duration)) { c.now, c.pause = now, pause }
 
 // SetRates sets this controller's share of the published limits.
 func (c *Client) SetRates(requests, changes float64) {
