Rows of launches that went straight outlive their repeats, however many a machine has

Cause: of a machine with more than 64 rows of ended attempts all could be forgotten, so that a repeated launch started its task again.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -48,6 +48,21 @@
 // swallows answers for hours, until a worker's report passes the published limit.
 const maxCopies = 64
 
+// maxStraight bounds how many rows of attempts that were launched straight a machine has. Beyond it, too,
+// launches go with answers to reports: those are not repeated, and so need no row that outlives them.
+const maxStraight = 256
+
+// straight counts the rows on a machine of attempts that were launched straight.
+func straight(m *model.Machine) int {
+	n := 0
+	for _, a := range m.Rows {
+		if a.Straight {
+			n++
+		}
+	}
+	return n
+}
+
 // order1 adds the orders that bring one attempt to where it should be. An
 // unwanted attempt that no report has shown yet is launched and stopped: then
 // the worker knows it, and a late copy of its launch does nothing
@@ -65,11 +80,11 @@
 
 // forgettable tells whether the row of an ended attempt may be removed: what it
 // did is durable, and no copy of its launch can come late. One that went straight to the worker and was
-// answered may yet be repeated by the network: its row stays for some leases, but not where
-// there are more than maxCopies, so that reports stay within their limit. Guards against a repeat that starts a stopped task beside its next start,
+// answered may yet be repeated by the network: its row stays for some leases, and
+// maxStraight keeps reports within their limit. Guards against a repeat that starts a stopped task beside its next start,
 // or one of a cancelled job.
 func (c *Core) forgettable(now time.Time, a *model.Attempt) bool {
-	if a.Straight && now.Sub(a.EndedAt) < repeatKept*c.set.Lease && len(a.Machine.Rows)-a.Machine.Holding <= maxCopies {
+	if a.Straight && now.Sub(a.EndedAt) < repeatKept*c.set.Lease {
 		return false
 	}
 	if a.Machine.Copies.Out(model.AttemptKey{Task: a.Task, Try: a.Try}) || a.Machine.Token < c.token {
@@ -91,18 +106,25 @@
 		return // the next answer to a report carries it
 	}
 	var out []model.Order
+	rows := -1 // launched straight; not counted yet
 	for key, a := range m.Rows {
 		if !a.Holds() || a.Told == a.State || len(out) >= maxOrders {
 			continue
 		}
 		n := len(out)
 		if out = c.order1(out, a); len(out) > n && out[n].Op == model.OpLaunch {
-			if m.Copies.Attempts() >= maxCopies && !m.Copies.Out(key) {
+			if rows < 0 {
+				rows = straight(m)
+			}
+			if m.Copies.Attempts() >= maxCopies && !m.Copies.Out(key) || rows >= maxStraight && !a.Straight {
 				out = out[:n] // the next answer to a report carries it
 				continue
 			}
+			if !a.Straight {
+				a.Straight = true
+				rows++
+			}
 			m.Copies.Send(key)
-			a.Straight = true
 		}
 		a.Told = a.State
 	}
--- a/internal/fake/meetings_test.go
+++ b/internal/fake/meetings_test.go
@@ -119,3 +119,22 @@
 		w.Pass(w.CancelIn)
 	}
 }
+
+// More tasks end on a machine than rows used to be kept there, and all their launches, which were answered, are
+// repeated by the network: none starts again.
+func TestLaunchesOfManyTasksAreRepeated(t *testing.T) {
+	w := members(t, 3, 1)
+	w.Run, w.Copies = second, 10_000
+	s := job(model.Array, 150, func(s *model.Spec) { s.Need = model.Resources{CPU: 0.05, MemGB: 0.1} })
+	submit(t, w, s)
+	until(t, w, 60*second, "done", done(t, w, s))
+	w.Pass(10 * second)
+	before := starts(w, s)
+	for _, a := range w.Again {
+		a.Do()
+		w.Check()
+	}
+	if n := starts(w, s); n != before || len(w.Again) == 0 {
+		t.Errorf("%d starts after %d, by %d repeats", n, before, len(w.Again))
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -57,7 +57,9 @@
 }
 
 // SetClock has the client go by another clock than the machine's, and pause as that says.
-func (c *Client) SetClock(now func() time.Time, pause func(time.Duration)) { c.now, c.pause = now, pause }
+func (c *Client) SetClock(now func() time.Time, pause func(time.Duration)) {
+	c.now, c.pause = now, pause
+}
 
 // SetRates sets this controller's share of the published limits.
 func (c *Client) SetRates(requests, changes float64) {
