A leader that stepped down for what it did not know begins its next term without that

Read again: the flag outlived the term, so that a member elected anew would have stepped down before its core was there.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -440,7 +440,7 @@
 		case election.Deposed:
 			n.right.Store(nil) // before anybody may hear of it
 			n.term++
-			n.core, n.book = nil, nil
+			n.core, n.book, n.behind = nil, nil, false
 			n.share(false)
 		}
 	}
