--- a/internal/fake/cancel_test.go
+++ b/internal/fake/cancel_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/wire"
 )
 
 // The operators' first meeting: the state service refuses the leader alone, another member tells
@@ -247,6 +248,39 @@
 	}
 }
 
+// Users cancel what is unknown, done or cancelled, while all is well, while the leader is refused, and in the
+// outage: each gets the protocol's answer, or is told to come back.
+func TestWhatUsersAreToldOfTheirCancellations(t *testing.T) {
+	w := members(t, 3, 4)
+	w.Run = 3 * second
+	over, open := job(model.Array, 1, nil), job(model.Service, 1, nil)
+	running(t, w, open)
+	submit(t, w, over)
+	until(t, w, 60*second, "one is done", done(t, w, over))
+	leader := w.Leader()
+	w.Specs["wk-999999"] = over
+	for _, phase := range []func(){func() {}, func() { leader.NoNet = true }, func() { w.State.SetDown(true) }} {
+		phase()
+		w.Pass(300 * time.Millisecond)
+		for _, c := range w.Controllers {
+			served := !c.NoNet && !w.State.Down
+			if v, err := w.Cancel(c, "wk-999999"); served != (err == nil) || v.State != wire.StateUnknown {
+				t.Errorf("unknown at %s: %v, %v", c.Member, v.State, err)
+			}
+			if v, err := w.Cancel(c, over.ID); err != nil || v.State != wire.StateDone {
+				t.Errorf("done at %s: %v, %v", c.Member, v.State, err)
+			}
+			if v, err := w.Cancel(c, open.ID); err == nil && v.State != wire.StateCancelled || served && err != nil {
+				t.Errorf("open at %s: %v, %v", c.Member, v.State, err)
+			}
+		}
+	}
+	if v, err := w.Cancel(leader, open.ID); err != nil || v.State != wire.StateCancelled {
+		t.Errorf("cancelled, in the outage at the leader: %v, %v", v.State, err)
+	}
+	w.Pass(2 * w.CancelIn)
+}
+
 // Refusals, outages, cuts, crashes and cancellations with tasks that outlast them, drawn by seeds.
 // CANCEL_PLAYS sets how many, for a long run by hand.
 func TestDrawnCancellationsAreGoneInTime(t *testing.T) {
