A member that began anew learns the latest ends again, so that its word is whole

Cause: a leader that was refused for a moment has read less far than a member that was back at once, whose word was not whole for it for as long as the outage after it lasted: the fleet's leases ended 17 s into it.

Change: one request more at a member's first reading. In the story of members that forget whom they told, what nobody cancelled lives on now.

--- a/internal/fake/cancel_test.go
+++ b/internal/fake/cancel_test.go
@@ -130,8 +130,8 @@
 func TestMembersThatForgetWhomTheyTold(t *testing.T) {
 	for _, n := range []int{2, 3} {
 		w := members(t, n, 4)
-		s := job(model.Array, 2, nil)
-		running(t, w, s)
+		s, stays := job(model.Array, 2, nil), job(model.Service, 2, nil)
+		running(t, w, s, stays)
 		leader := w.Leader()
 		leader.NoNet = true
 		w.Pass(200 * time.Millisecond)
@@ -144,6 +144,9 @@
 		w.Pass(300 * time.Millisecond)
 		w.State.SetDown(true)
 		w.Pass(2 * w.CancelIn)
+		if on(w, s) != 0 || on(w, stays) != 2 || w.Killed > 0 {
+			t.Errorf("%d members: %d cancelled tasks run, %d replicas, %d killed", n, on(w, s), on(w, stays), w.Killed)
+		}
 	}
 }
 
--- a/internal/store/jobs.go
+++ b/internal/store/jobs.go
@@ -158,8 +158,29 @@
 	if err != nil {
 		return err
 	}
+	// A former life may have told users of ends. The latest ones are learned again, so that this one's word is whole
+	// for a leader that has read a little less far.
+	from, recent := rev, []wire.Entry(nil)
+	if j.AsOf().IsZero() {
+		from = rev - min(rev, mostRecent)
+		if p, err := j.c.Changes(ctx, jobPrefix, from, 0); err == nil {
+			recent = p.Entries
+		} else {
+			from = rev
+		}
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	for _, e := range recent {
+		if id, ok := strings.CutPrefix(e.Key, endedPrefix); ok && !e.Removed {
+			if v, err := decodeEnded(e); err == nil {
+				j.remember(id, v)
+			} else {
+				j.log.Error("unreadable job record", "key", e.Key, "err", err)
+				from = rev
+			}
+		}
+	}
 	j.parts = map[string][]string{}
 	for _, e := range parts {
 		j.part(e)
@@ -183,7 +204,7 @@
 		}
 	}
 	if j.asOf.IsZero() {
-		j.base = rev
+		j.base = from
 	}
 	j.active, j.rev, j.loaded, j.asOf = active, rev, true, sent
 	j.graph = model.NewGraph()
@@ -194,6 +215,9 @@
 	return nil
 }
 
+// mostRecent is how many revisions before its first reading a member learns the ends of: some seconds' worth.
+const mostRecent = 2000
+
 // enter takes an unfinished job into the graph.
 func (j *Jobs) enter(id string, v JobView) {
 	if _, over := j.ended[id]; over {
--- a/internal/store/word_test.go
+++ b/internal/store/word_test.go
@@ -37,11 +37,32 @@
 	}
 }
 
+// last is the last word of a member to a leader that has read up to a revision.
+func last(j *store.Jobs, rev uint64) store.Word {
+	w := j.Word(rev, store.Told{})
+	for !w.Whole && len(w.Cancelled) > 0 {
+		w = j.Word(rev, w.Upto)
+	}
+	return w
+}
+
 // A word is whole where the leader knows with it all that its member can have told users, and not before.
 func TestWhenAWordIsWhole(t *testing.T) {
 	_, c := service()
 	leader := member(t, c, 1, 100)
 	rev := leader.Revision()
+	// Cancelled before another one, and learned of by a question of a user only after it.
+	other, behind := member(t, c, 3, 1000), member(t, c, 4, 1000)
+	cancelled(t, other, 900, 1)
+	cancelled(t, behind, 901, 1)
+	upto := behind.Word(rev, store.Told{}).Upto
+	if _, err := behind.Lookup(context.Background(), "wk-000900"); err != nil {
+		t.Fatal(err)
+	}
+	if w := behind.Word(rev, upto); len(w.Cancelled) != 1 || w.Cancelled[0].ID != "wk-000900" {
+		t.Errorf("learned of late and not told: %+v", w.Cancelled)
+	}
+	rev = behind.Revision()
 	teller := member(t, c, 2, 1000)
 	if w := teller.Word(rev, store.Told{}); !w.Whole || len(w.Cancelled) != 0 {
 		t.Errorf("of one that told nobody: %+v", w)
@@ -58,22 +79,16 @@
 	if w := teller.Word(rev, store.Told{Life: 9, Count: 300}); len(w.Cancelled) == 0 {
 		t.Error("what another life has told counts for this one")
 	}
-	// Cancelled before all of those, and learned of by a question of a user only now.
-	other := member(t, c, 3, 1000)
-	cancelled(t, other, 900, 1)
-	behind := member(t, c, 4, 1000)
-	cancelled(t, behind, 901, 1)
-	upto := behind.Word(rev, store.Told{}).Upto
-	if _, err := behind.Lookup(context.Background(), "wk-000900"); err != nil {
-		t.Fatal(err)
-	}
-	if w := behind.Word(rev, upto); len(w.Cancelled) != 1 || w.Cancelled[0].ID != "wk-000900" {
-		t.Errorf("learned of late and not told: %+v", w.Cancelled)
-	}
-	// Back without memory: whole for one that has read as far as its first reading, and for no other.
+	// Back without memory: it learns the latest ends again.
 	again := member(t, c, 5, 1000)
-	if again.Word(rev, second.Upto).Whole || !again.Word(again.Revision(), store.Told{}).Whole {
-		t.Error("a member that began anew")
+	if w := again.Word(rev, again.Word(rev, store.Told{}).Upto); !w.Whole || len(w.Cancelled) != 44 {
+		t.Errorf("a member that began anew: %d, %v", len(w.Cancelled), w.Whole)
+	}
+	// But not those of long ago: it is whole for one that has read up to where they begin, and for no other.
+	cancelled(t, teller, 2000, 1100)
+	late := member(t, c, 7, 10_000)
+	if last(late, rev).Whole || !last(late, late.Revision()).Whole {
+		t.Error("a member that began anew long after")
 	}
 	// One that lets ends go.
 	small := member(t, c, 6, 2)
