--- a/internal/node/word.go
+++ b/internal/node/word.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/glentiller/glentiller/internal/peer/peerpb"
@@ -77,14 +79,6 @@
 
 // informed begins the book of a leadership whose core has just been made.
 func (n *Node) informed(now time.Time) {
-	n.book, n.behind = word.New(n.others(), n.jobs.AsOf()), false
+	n.book, n.behind = word.New(slices.Collect(maps.Keys(n.peers)), n.jobs.AsOf()), false
 	n.showRight(now)
 }
-
-func (n *Node) others() []string {
-	out := make([]string, 0, len(n.peers))
-	for name := range n.peers {
-		out = append(out, name)
-	}
-	return out
-}
--- a/internal/store/leader.go
+++ b/internal/store/leader.go
@@ -280,11 +280,14 @@
 	if gerr != nil {
 		return 0, false, gerr
 	}
+	if !found {
+		return 0, false, nil // the record is lost: whoever finds none begins anew
+	}
 	last, _, gerr := wire.DecodeToken(e.Value)
 	switch {
 	case gerr != nil:
 		return 0, false, gerr
-	case !found || last != token:
+	case last != token:
 		return 0, false, nil // another leader has taken over
 	case e.Version == tokenVersion:
 		return 0, false, errors.Join(err, errors.New("not carried out yet"))
