--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -32,8 +32,9 @@
 	Types       []model.MachineType
 	Specs       map[string]*model.Spec
 	Done        map[model.TaskID]bool
-	Bad         map[string]bool // jobs whose tasks fail everywhere
-	Cancelled   map[string]time.Time
+	Bad         map[string]bool      // jobs whose tasks fail everywhere
+	Cancelled   map[string]time.Time // when users were told of it first
+	ToldBy      map[string]string    // and by which member
 	Teams       map[string]model.Team
 	Awaits      map[string][]string             // what jobs were submitted to wait for
 	Allowed     map[string]func(k *Worker) bool // what jobs' rules say of a machine when a task has started there
@@ -179,7 +180,7 @@
 // NewWorld makes a deployment with n controllers, which work by the settings.
 func NewWorld(n int, set control.Settings, el election.Settings, limits store.Limits, log *slog.Logger) *World {
 	w := &World{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), Workers: map[string]*Worker{}, Specs: map[string]*model.Spec{},
-		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, Teams: map[string]model.Team{},
+		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, ToldBy: map[string]string{}, Teams: map[string]model.Team{},
 		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
 		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
 		seen: map[string]bool{}, Allowed: map[string]func(k *Worker) bool{}, Awaits: map[string][]string{}, Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
@@ -364,7 +365,7 @@
 func (w *World) Cancel(c *Controller, id string) (store.JobView, error) {
 	v, err := c.Jobs.Cancel(context.Background(), id, w.now)
 	if _, told := w.Cancelled[id]; err == nil && !told && v.State.Ended() && !w.allDone(id) {
-		w.Cancelled[id] = w.now
+		w.Cancelled[id], w.ToldBy[id] = w.now, c.Member
 	}
 	return v, err
 }
@@ -422,7 +423,7 @@
 			if at, ok := w.Cancelled[t.ID.Job]; ok {
 				w.Gone = max(w.Gone, w.now.Sub(at))
 				if w.now.Sub(at) > w.CancelIn {
-					w.broken("ran_cancelled: %v on %s", t.ID, n)
+					w.broken("ran_cancelled: %v on %s, told by %s", t.ID, n, w.ToldBy[t.ID.Job])
 				}
 			}
 		}
