--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -115,11 +115,9 @@
 func (Touched) electionEvent() {}
 func (Fenced) electionEvent()  {}
 func (Resign) electionEvent()  {}
-
-func (Rewritten) electionEvent() {}
-
 func (Raising) electionEvent() {}
 
+func (Rewritten) electionEvent()   {}
 func (PromiseBack) electionEvent() {}
 func (Unbound) electionEvent()     {}
 
--- a/internal/word/word.go
+++ b/internal/word/word.go
@@ -12,12 +12,11 @@
 	Start time.Duration // while it starts tasks
 }
 
-// slack is for clocks that part, and for workers that end their tasks late.
 const (
-	slack = 3 * time.Second
-	drift = 0.001
-	least = 1500 * time.Millisecond
-	start = 4 * time.Second
+	slack = 3 * time.Second         // for workers that end their tasks late
+	drift = 0.001                   // bounds how far the steady clocks of two machines part
+	least = 1500 * time.Millisecond // that a leader can work with
+	start = 4 * time.Second         // in which every member has been asked, and asked again, if all is well
 )
 
 // Within is the bound by which tasks of a cancelled job are gone in a time, where workers' leases
