--- a/internal/control/accounting.go
+++ b/internal/control/accounting.go
@@ -233,7 +233,7 @@
 	for _, m := range c.machines {
 		for _, a := range m.Rows {
 			if a.Holds() {
-				c.charge(now, a, m.LastReport)
+				c.charge(now, a, m.LastSeen)
 			}
 		}
 	}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -223,7 +223,7 @@
 func (c *Core) newMachine(now time.Time, l model.Listed, s model.MachineState) *model.Machine {
 	m := &model.Machine{Name: l.Machine, Addr: l.Addr, Zone: l.Zone, Spot: l.Spot, Type: c.typeOf(l.Type),
 		Rows: map[model.AttemptKey]*model.Attempt{}, Images: map[string]time.Time{}, Errors: map[string]int{},
-		EmptySince: now, LastReport: now, Deadline: c.leaseEnd(now)}
+		EmptySince: now, LastReport: now, LastSeen: now, Deadline: c.leaseEnd(now)}
 	m.Set(now, s, "")
 	c.machines[m.Name] = m
 	return m
--- a/internal/control/hearing.go
+++ b/internal/control/hearing.go
@@ -129,6 +129,13 @@
 	return len(c.inDoubtOf) > 1 && now.Sub(c.provedAt) > c.set.SilentAfter+2*time.Second && len(c.inDoubtOf) >= c.reporting(now)/2
 }
 
+// wantsProof tells that machines are in doubt, and that none has proved lately that it hears: one that is not in doubt is asked.
+// Guards against a leader that hands over since half of all machines hear nothing, while the others had no
+// reason to prove that they do: each takeover then kept work of before waiting anew.
+func (c *Core) wantsProof(now time.Time) bool {
+	return len(c.inDoubtOf) > 1 && now.Sub(c.provedAt) > c.set.SilentAfter/2
+}
+
 // reporting counts the machines that are up and not silent.
 func (c *Core) reporting(now time.Time) int {
 	n := 0
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -57,7 +57,7 @@
 // lose takes an attempt as gone without a word.
 func (c *Core) lose(now time.Time, a *model.Attempt) {
 	if a.Holds() {
-		c.charge(now, a, a.Machine.LastReport)
+		c.charge(now, a, a.Machine.LastSeen)
 		c.wasted(now, a)
 		c.release(now, a, model.Dropped)
 	} else if a.State == model.Ended {
@@ -189,7 +189,11 @@
 		}
 	}
 	ask := !c.returning && !now.Before(c.returnAt)
+	probe := c.wantsProof(now)
 	for _, m := range c.machines {
+		if probe && m.Ear.State == hearing.Hears && c.placeable(now, m) {
+			probe = !c.question(now, m)
+		}
 		if m.State != model.Booting && now.After(m.Deadline) && (m.Session > m.DeadSession || m.Unsure) {
 			c.log.Warn("lease has certainly run out", "machine", m.Name, "session", m.Session)
 			m.DeadSession = m.Session
@@ -208,7 +212,7 @@
 			}
 		case model.Ready, model.Unsettled, model.Draining:
 			switch {
-			case m.Unsure && m.Mute && c.fewUnsure():
+			case m.Unsure && m.Unanswering && c.fewUnsure():
 				giveBack(m, "silent")
 			case now.Sub(m.LastReport) > c.set.SilentAfter && now.After(c.resumeAt) && !quiet[m.Zone] && !quiet[anyZone]:
 				giveBack(m, "silent")
@@ -276,7 +280,7 @@
 	}
 	asked := 0
 	for _, m := range c.machines {
-		if m.Unsure && !m.Mute && !m.Direct && m.Addr != "" && m.State < model.Returning && now.Sub(m.Asked) > askEvery && asked < maxAsked {
+		if m.Unsure && !m.Unanswering && !m.Direct && m.Addr != "" && m.State < model.Returning && now.Sub(m.Asked) > askEvery && asked < maxAsked {
 			m.Asked = now
 			asked++
 			c.asking++
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -58,11 +58,20 @@
 			Shows: r.Token >= c.token && m.Token < c.token}
 		sign.Shows = c.observe(now, m, r, false) || sign.Shows
 		c.heard(now, m, sign)
+		if m.Unsure && now.After(c.leaseEnd(c.start).Add(dropped)) {
+			c.untold(now, m)
+		}
 	}
 	if kind != hearing.Repeated {
 		// Also one that an answer to a command has overtaken: it renews the worker's lease. One that
 		// comes again was sent before it first came.
 		m.Deadline = c.leaseEnd(now)
+		if m.Holding == 0 && now.Sub(m.LastReport) > c.set.SilentAfter {
+			m.EmptySince = now // from here on it is of use again
+		}
+		// Only here. Guards against a machine that reaches no controller, while commands reach it: its answers to
+		// them were taken for reports, so it got work again and again that its lease killed.
+		m.LastReport = now
 	}
 	c.emit(Answer{Orders: c.orders(now, m, !ev.Handed)})
 	if kind == hearing.Fresh {
@@ -70,6 +79,17 @@
 	}
 }
 
+// untold takes a fresh report of a machine that has reported since the takeover, and has not taken this leader's token for
+// more than a lease: nothing that a leader before has started is on it, but for what its reports have shown
+// (docs/safety.md, "Rebuilding"). Guards against work of before the takeover that waits for as long as machines
+// hear nothing, since each of their reports puts off the end of their leases.
+func (c *Core) untold(now time.Time, m *model.Machine) {
+	if m.Ear.Untold(now) {
+		c.hearingMoved(m)
+	}
+	c.settle(now, m, "not renewed since the takeover")
+}
+
 // foreign tells that a report names another type, zone or kind than its machine is known to have.
 // None of them ever changes. Guards against bounds by zone that count tasks where they are not.
 func (c *Core) foreign(m *model.Machine, r *model.Report) bool {
@@ -100,12 +120,9 @@
 		m.Deadline = c.leaseEnd(now)
 		m.Errors = map[string]int{}
 	}
-	m.Mute = false
-	if m.Holding == 0 && now.Sub(m.LastReport) > c.set.SilentAfter {
-		m.EmptySince = now // from here on it is of use again
-	}
-	before := m.LastReport
-	m.Session, m.Seq, m.Token, m.LastReport, m.Addr = r.Session, r.Seq, r.Token, now, r.Addr
+	m.Unanswering = false
+	before := m.LastSeen
+	m.Session, m.Seq, m.Token, m.LastSeen, m.Addr = r.Session, r.Seq, r.Token, now, r.Addr
 	if r.Type != m.Type.Name || m.Type.Cap.CPU < 1e-6 {
 		m.Type = c.typeOf(r.Type)
 	}
--- /dev/null
+++ b/internal/fake/waits.go
@@ -0,0 +1,120 @@
+package fake
+
+import (
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+)
+
+// mostWait is how long a job may wait while a machine that fits has room and its team is under its limit, once
+// troubles are over.
+const mostWait = 90 * time.Second
+
+// Calm notes that all troubles are over: from here on no job waits for long while there is room for it.
+func (w *World) Calm() { w.calm, w.waiting = w.now, map[string]time.Time{} }
+
+// Stormy notes that there are troubles again.
+func (w *World) Stormy() { w.calm = time.Time{} }
+
+// checkWaits looks once a second for jobs that wait although there is room for them.
+func (w *World) checkWaits() {
+	if w.calm.IsZero() || w.now.Sub(w.waitsAt) < time.Second {
+		return
+	}
+	w.waitsAt = w.now
+	used := map[string]model.Resources{}
+	held := map[model.TaskID]bool{}
+	free := map[*Worker]model.Resources{}
+	zones := map[string]map[string]int{}
+	for _, k := range w.Workers {
+		free[k] = w.capOf(k.Type)
+		for _, t := range k.Tasks {
+			if t.Phase == model.Exited {
+				continue
+			}
+			held[t.ID] = true
+			free[k] = free[k].Sub(t.Spec.Need)
+			used[t.Spec.Team] = used[t.Spec.Team].Add(t.Spec.Need)
+			if zones[t.ID.Job] == nil {
+				zones[t.ID.Job] = map[string]int{}
+			}
+			zones[t.ID.Job][k.Zone]++
+		}
+	}
+	for id, h := range w.told {
+		if s := w.Specs[id]; h.final != 0 || w.askedToCancel(id) || w.Bad[id] || !w.waits(s, held) || !w.roomFor(s, used[s.Team], free, zones[id]) {
+			delete(w.waiting, id)
+			continue
+		}
+		since, known := w.waiting[id]
+		if !known {
+			w.waiting[id] = w.now
+			continue
+		}
+		if long := w.now.Sub(since); long > w.LongestWait {
+			if w.LongestWait = long; long > mostWait {
+				w.broken("waits: %s for over %v although there is room", id, mostWait)
+			}
+		}
+	}
+}
+
+func (w *World) capOf(breed string) model.Resources {
+	for _, t := range w.Types {
+		if t.Name == breed {
+			return t.Cap
+		}
+	}
+	return model.Resources{}
+}
+
+// waits tells whether something of a job is to run and is on no machine.
+func (w *World) waits(s *model.Spec, held map[model.TaskID]bool) bool {
+	for _, need := range w.Awaits[s.ID] {
+		if !w.allDone(need) {
+			return false
+		}
+	}
+	open := 0
+	for i := range s.Tasks {
+		if id := (model.TaskID{Job: s.ID, Index: i}); !w.Done[id] {
+			if held[id] && s.Shape == model.Gang {
+				return false // its attempt is not over
+			}
+			if !held[id] {
+				open++
+			}
+		}
+	}
+	return open > 0 && (s.Shape != model.Gang || open == s.Tasks)
+}
+
+// roomFor tells whether machines have room for a task of a job, or for all of a gang.
+func (w *World) roomFor(s *model.Spec, used model.Resources, free map[*Worker]model.Resources, zones map[string]int) bool {
+	n := 1
+	if s.Shape == model.Gang {
+		n = s.Tasks
+	}
+	if !w.Teams[s.Team].Limit.Allows(used.Add(s.Need.Times(n))) {
+		return false
+	}
+	fits := map[string]int{}
+	for k, f := range free {
+		fine := !k.Cut && !k.Deaf && !k.Mute && !k.Hung && !k.Sick && k.Notice == 0
+		if !fine || !s.AllowsType(k.Type) || s.Zone != "" && s.Zone != k.Zone || k.Spot && !s.Spot || s.OneZone && len(zones) > 0 && zones[k.Zone] == 0 {
+			continue
+		}
+		if allowed := w.Allowed[s.ID]; allowed != nil && !allowed(k) {
+			continue
+		}
+		fits[k.Zone] += s.Need.CountIn(f)
+	}
+	all := 0
+	for zone, count := range fits {
+		count = min(count, s.ZoneCap()-zones[zone])
+		if all += max(count, 0); s.OneZone && count >= n {
+			return true
+		}
+	}
+	return !s.OneZone && all >= n
+}
--- a/internal/front/away.go
+++ b/internal/front/away.go
@@ -90,8 +90,8 @@
 func (s *Server) told(q route.Request, a route.Answer) route.Answer {
 	if a.Cause == route.Taken {
 		// An end that has become known here meanwhile is newer than whatever another member
-		// read: docs/safety.md, "Answers that never go back".
-		if v := s.jobs.Peek(q.ID); v.State.Ended() && a.Status == fasthttp.StatusOK {
+		// read, and than that the job was accepted: docs/safety.md, "Answers that never go back".
+		if v := s.jobs.Peek(q.ID); v.State.Ended() && (a.Status == fasthttp.StatusOK || a.Status == fasthttp.StatusCreated) {
 			ctx, cancel := context.WithTimeout(context.Background(), waitOf(q.Kind))
 			defer cancel()
 			return s.here(ctx, q)
--- a/internal/hearing/ear.go
+++ b/internal/hearing/ear.go
@@ -29,9 +29,11 @@
 	Since time.Time
 	Why   string
 
-	straight time.Time // when the last report came straight from it and was answered
-	left     bool      // others came by way of members since
-	told     int       // answers in a row that it shows nothing of
+	straight time.Time    // when the last report came straight from it and was answered
+	left     bool         // others came by way of members since
+	told     int          // answers in a row that it shows nothing of
+	own      bool         // the doubt rests on what it has shown by itself
+	answered [2]time.Time // when the last two reports came that were answered, the later one first
 }
 
 // to changes the state; it is the only place that does. It tells whether that is new.
@@ -45,17 +47,23 @@
 
 // Prove takes a proof that something that was sent lately has reached the machine.
 func (e *Ear) Prove(now time.Time, why string) bool {
-	e.told = 0
+	e.told, e.own = 0, false
 	return e.to(now, Hears, why)
 }
 
+// Untold takes that a machine reports, and has not taken the leader's token in more than a lease.
+func (e *Ear) Untold(now time.Time) bool {
+	e.own = true
+	return e.State < Doubtful && e.to(now, Doubtful, "it has not taken this leader's token")
+}
+
 // Suspect has it asked whether it hears. Who is in doubt already stays there.
 func (e *Ear) Suspect(now time.Time, why string) bool {
 	return e.State == Hears && e.to(now, Asked, why)
 }
 
 // Sure tells that the doubt rests on what the machine itself has shown, and not on questions alone.
-func (e *Ear) Sure() bool { return e.told >= enough }
+func (e *Ear) Sure() bool { return e.told >= enough || e.own }
 
 // Strange is a machine that nobody here has rented: nothing is placed on it before it has answered.
 func (e *Ear) Strange(now time.Time) { e.to(now, Doubtful, "nobody here has rented it") }
@@ -80,9 +88,17 @@
 	if e.left = !s.Straight; s.Straight {
 		e.straight = now
 	}
+	// A lease is longer than two reports that were answered are apart: at least one of these answers was lost.
+	vain := s.Session && now.Sub(e.answered[1]) < set.Lease
+	e.answered = [2]time.Time{now, e.answered[0]}
 	switch {
 	case s.Shows:
 		return e.Prove(now, "it shows what it was told")
+	case vain:
+		// Also while many are silent. Guards against half a zone that hears nothing and is taken for cut off:
+		// work was placed there again and again.
+		e.own = true
+		return e.Suspect(now, "its lease has run out although two of its reports were answered")
 	case s.Lacks:
 		if e.told++; e.told >= enough {
 			return e.State <= Asked && e.to(now, Doubtful, "it does not do what it is told")
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -188,7 +188,8 @@
 	hearing.Voice             // the numbers of its messages
 	Ear           hearing.Ear // whether it hears this leader
 	Deadline      time.Time   // by then its worker's lease has certainly run out unless a report is answered
-	LastReport    time.Time
+	LastReport    time.Time   // the last report; an answer to a command is none
+	LastSeen      time.Time   // its last message of any kind
 
 	Used    Resources
 	Holding int // attempts that count as being on it
@@ -199,12 +200,12 @@
 	Notice     time.Time // when the cloud takes it; zero: no notice
 	Images     map[string]time.Time
 
-	Copies  Copies         // of launches that were sent straight to it
-	Errors  map[string]int // errors by job
-	Direct  bool           // a direct command is in flight
-	Asked   time.Time      // when a new leader last asked it whether it is there
-	Mute    bool           // it did not answer that
-	HoldOff time.Time      // no direct command before this
+	Copies      Copies         // of launches that were sent straight to it
+	Errors      map[string]int // errors by job
+	Direct      bool           // a direct command is in flight
+	Asked       time.Time      // when a new leader last asked it whether it is there
+	Unanswering bool           // it did not answer that
+	HoldOff     time.Time      // no direct command before this
 }
 
 // Set changes the machine's state; it is the only place that does. It tells
--- a/internal/rehearse/troubles/meet.go
+++ b/internal/rehearse/troubles/meet.go
@@ -178,7 +178,7 @@
 		"frozen":       func() func() { return member(r.leader(), func(c *fake.Controller, on bool) { c.Frozen = on }) },
 		"apart":        func() func() { w.Apart = true; return func() { w.Apart = false } },
 		"outage":       func() func() { w.State.SetDown(true); return func() { w.State.SetDown(false) } },
-		"deaf":         func() func() { return on(3, func(k *fake.Worker, on bool) { k.Mute = on }) },
+		"deaf":         func() func() { return on(3, func(k *fake.Worker, on bool) { k.Deaf = on }) },
 		"out of reach": func() func() { return on(3, func(k *fake.Worker, on bool) { k.Cut = on }) },
 		"hung": func() func() {
 			end := on(3, func(k *fake.Worker, on bool) { k.Hung = on })
@@ -301,7 +301,7 @@
 		}
 	}
 	for _, k := range w.Workers {
-		k.Mute, k.Cut, k.Hung = false, false, false
+		k.Deaf, k.Cut, k.Hung = false, false, false
 	}
 	r.release()
 }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -152,7 +152,11 @@
 		}
 		return rest, ok, err
 	case "field":
-		return readStr(b, &s.Zone)
+		rest, ok, err := readStr(b, &s.Zone)
+		if err == nil && s.Zone == "" {
+			err = errors.New("empty") // guards against a zone without a name that is taken for any
+		}
+		return rest, ok, err
 	case "oneZone":
 		return readBool(b, &s.OneZone)
 	case "scatter":
