--- a/internal/fake/answers_test.go
+++ b/internal/fake/answers_test.go
@@ -131,7 +131,7 @@
 		}
 		w.Pass(w.Tick)
 		for _, s := range jobs {
-			if w.allDone(s.ID) {
+			if w.AllDone(s.ID) {
 				if atEnd[s.ID] && r.IntN(6) == 0 {
 					atEnd[s.ID] = false
 					_ = try(s, func(c *Controller) error {
--- a/internal/fake/copies_test.go
+++ b/internal/fake/copies_test.go
@@ -1,7 +1,6 @@
 package fake
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"testing"
@@ -10,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/glentiller/glentiller/internal/model"
-	"github.com/glentiller/glentiller/internal/wire"
 )
 
 // fixed has a random play draw the same every time, unless a seed is asked for on the command line:
@@ -56,22 +54,9 @@
 		w.Way = func() Fate { return way() }
 		w.Pass(6 * second)
 		var ids []string
-		final := map[string]wire.JobState{}
 		look := func(r *rapid.T) {
-			if len(ids) == 0 {
-				return
-			}
-			id := rapid.SampledFrom(ids).Draw(r, "job")
-			c := controller(r)
-			v, err := c.Jobs.Lookup(context.Background(), id)
-			if !c.Up || err != nil {
-				return
-			}
-			if was := final[id]; was != wire.StateUnknown && v.State != was {
-				r.Fatalf("went_back: %s was %v and is %v", id, was, v.State)
-			}
-			if v.State.Ended() {
-				final[id] = v.State
+			if c := controller(r); c.Up && len(ids) > 0 {
+				_, _ = w.Ask(c, rapid.SampledFrom(ids).Draw(r, "job")) // the world holds answers against each other
 			}
 		}
 		r.Repeat(map[string]func(*rapid.T){
@@ -126,6 +111,10 @@
 				k := worker(r)
 				k.Deaf = !k.Deaf
 			},
+			"a machine reaches no controller or does": func(r *rapid.T) {
+				k := worker(r)
+				k.Mute = !k.Mute
+			},
 			"copies of reports come late": func(r *rapid.T) {
 				for range rapid.IntRange(0, 4).Draw(r, "how many") {
 					if len(w.Copied) > 0 {
@@ -202,14 +191,15 @@
 			}
 		}
 		for _, k := range w.Workers {
-			k.Deaf, k.Cut = false, false
+			k.Deaf, k.Cut, k.Mute = false, false, false
 		}
 		w.Pass(w.CancelIn + 10*second)
 		for _, f := range w.Held {
 			f()
 			w.Check()
 		}
-		w.Pass(second)
+		w.Calm()
+		w.Pass(mostWait + 5*second)
 		for _, b := range w.Broken {
 			r.Fatalf("broken: %s", b)
 		}
--- a/internal/fake/history.go
+++ b/internal/fake/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
@@ -38,7 +39,7 @@
 		w.broken("went_back: %s says that %s is %v, %s said %v", c.Member, id, s, h.by, h.final)
 	case s == wire.StateCancelled && !w.askedToCancel(id):
 		w.broken("went_back: %s says that %s is cancelled, which nobody has asked for", c.Member, id)
-	case s == wire.StateDone && !w.allDone(id) && (spec.Shape != model.Gang || !w.anyDone(id)):
+	case s == wire.StateDone && !w.AllDone(id) && (spec.Shape != model.Gang || !w.anyDone(id)):
 		w.broken("not_done: %s says that %s is done", c.Member, id)
 	}
 	if s == wire.StateUnknown || h.final != wire.StateUnknown {
@@ -81,7 +82,10 @@
 
 // Ask has a user ask a controller about a job.
 func (w *World) Ask(c *Controller, id string) (wire.JobState, error) {
-	v, err := c.Jobs.Lookup(context.Background(), id)
+	v, err := store.JobView{}, error(nil)
+	if v = c.Jobs.Peek(id); !w.Unread || v.State == wire.StateUnknown {
+		v, err = c.Jobs.Lookup(context.Background(), id)
+	}
 	if err == nil {
 		w.Asked++
 		w.tell(c, id, v.State)
--- a/internal/fake/meetings_test.go
+++ b/internal/fake/meetings_test.go
@@ -20,7 +20,7 @@
 	running(t, w, s)
 	var reach, deaf *Worker
 	for _, n := range w.Names() {
-		if k := w.Workers[n]; k.of("wk") > 0 {
+		if k := w.Workers[n]; k.Of("wk") > 0 {
 			reach, deaf = deaf, k
 		}
 	}
--- a/internal/fake/mute_test.go
+++ b/internal/fake/mute_test.go
@@ -27,7 +27,7 @@
 		running(t, w, append(cancelled, stays)...)
 		var mute *Worker
 		for _, k := range w.Workers {
-			if mute == nil || k.of("wk") > mute.of("wk") {
+			if mute == nil || k.Of("wk") > mute.Of("wk") {
 				mute = k
 			}
 		}
@@ -38,7 +38,7 @@
 		}
 		fell, met, vain := w.Now(), 0, 0
 		for _, s := range cancelled {
-			met += mute.of(s.ID)
+			met += mute.Of(s.ID)
 			tell(t, w, w.Leader(), s)
 			submit(t, w, job(model.Array, 1, small))
 			before := len(mute.Tasks)
@@ -50,7 +50,7 @@
 		if met < 5 || vain > 0 {
 			t.Errorf("new leader %v: %d stops for the mute machine, after which it got work %d times", newLeader, met, vain)
 		}
-		until(t, w, w.Lease, "what ran there runs elsewhere", func() bool { return on(w, stays) == 2 && (w.Workers[mute.Name] != mute || mute.of(stays.ID) == 0) })
+		until(t, w, w.Lease, "what ran there runs elsewhere", func() bool { return on(w, stays) == 2 && (w.Workers[mute.Name] != mute || mute.Of(stays.ID) == 0) })
 		mute.Mute = false
 		w.Pass(w.CancelIn)
 	}
--- a/internal/fake/rules_test.go
+++ b/internal/fake/rules_test.go
@@ -33,7 +33,7 @@
 	w := ruled(t, 4)
 	w.Run = 15 * second
 	s := under(t, w, job(model.Array, 6, nil), "require type = \"big\" and zone = \"b\" and not spot\nrequire at most 1 per machine",
-		func(k *Worker) bool { return k.Type == "big" && k.Zone == "b" && !k.Spot && k.of("wk-") <= 1 })
+		func(k *Worker) bool { return k.Type == "big" && k.Zone == "b" && !k.Spot && k.Of("wk-") <= 1 })
 	until(t, w, 60*second, "its tasks run", func() bool { return on(w, s) >= 3 })
 	for range 3 {
 		w.Leader().Crash()
--- a/internal/fake/settings_test.go
+++ b/internal/fake/settings_test.go
@@ -183,7 +183,7 @@
 		for end := w.Now().Add(600 * second); len(runs) > 0 && w.Now().Before(end); w.Pass(second) {
 			runs = slices.DeleteFunc(runs, func(s *model.Spec) bool {
 				if s.Shape != model.Service {
-					return w.allDone(s.ID)
+					return w.AllDone(s.ID)
 				}
 				n := on(w, s)
 				if n < s.Tasks && (n == 0 || w.Capacity != few) {
--- a/internal/fake/stories_test.go
+++ b/internal/fake/stories_test.go
@@ -381,7 +381,7 @@
 				t.Errorf("cancelled after %v: the user was told %v, controller %d says %v", after, v.State, i, got)
 			}
 		}
-		if v.State == wire.StateDone && !w.allDone(s.ID) {
+		if v.State == wire.StateDone && !w.AllDone(s.ID) {
 			t.Errorf("cancelled after %v: done, but tasks are not", after)
 		}
 	}
--- a/internal/fake/waits.go
+++ b/internal/fake/waits.go
@@ -71,7 +71,7 @@
 // waits tells whether something of a job is to run and is on no machine.
 func (w *World) waits(s *model.Spec, held map[model.TaskID]bool) bool {
 	for _, need := range w.Awaits[s.ID] {
-		if !w.allDone(need) {
+		if !w.AllDone(need) {
 			return false
 		}
 	}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// of counts the tasks on the machine of jobs whose id begins in some way.
-func (k *Worker) of(prefix string) int {
+// Of counts the tasks on the machine of jobs whose id begins in some way.
+func (k *Worker) Of(prefix string) int {
 	n := 0
 	for _, t := range k.Tasks {
 		if t.On() && strings.HasPrefix(t.ID.Job, prefix) {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -80,6 +80,7 @@
 	ledger *control.Ledger
 
 	Looks       bool          // users ask every controller about a job at the moment at which a transaction changes its record
+	Unread      bool          // members answer from what they have read last: a fault of theirs, to show that checks can fail
 	Asked       int           // questions of users that were answered
 	LongestWait time.Duration // of a job for which there was room, once troubles were over
 	looking     bool
@@ -382,7 +383,7 @@
 		h.askedTo = true
 	}
 	v, err := c.Jobs.Cancel(context.Background(), id, w.now)
-	if _, told := w.Cancelled[id]; err == nil && !told && v.State.Ended() && !w.allDone(id) {
+	if _, told := w.Cancelled[id]; err == nil && !told && v.State.Ended() && !w.AllDone(id) {
 		w.Cancelled[id], w.ToldBy[id] = w.now, c.Member
 	}
 	if err == nil {
@@ -391,7 +392,8 @@
 	return v, err
 }
 
-func (w *World) allDone(id string) bool {
+// AllDone tells whether all tasks of a job have completed.
+func (w *World) AllDone(id string) bool {
 	for i := range w.Specs[id].Tasks {
 		if !w.Done[model.TaskID{Job: id, Index: i}] {
 			return false
@@ -429,7 +431,7 @@
 			}
 			on[t.ID] = n
 			for _, need := range w.Awaits[t.ID.Job] {
-				if !w.allDone(need) {
+				if !w.AllDone(need) {
 					w.broken("too_early: %v on %s before %s is done", t.ID, n, need)
 				}
 			}
--- a/internal/rehearse/troubles/meet.go
+++ b/internal/rehearse/troubles/meet.go
@@ -21,10 +21,11 @@
 	Knows  Break = "knows"  // a leader answers workers whatever it knows of cancellations
 	Tokens Break = "tokens" // workers take orders under any token
 	Leases Break = "leases" // leaders take workers' leases for a fifth of what they are
+	Synced Break = "synced" // a member answers from what it has read last, and not as of now
 )
 
 // Breaks lists what can be left out.
-var Breaks = []Break{Knows, Tokens, Leases}
+var Breaks = []Break{Knows, Tokens, Leases, Synced}
 
 // Meet draws runs in which two or three troubles meet, with tasks that outlast them and jobs of two or
 // three tasks that end far apart, while jobs are cancelled and asked about.
@@ -38,6 +39,7 @@
 	r := &run{Rand: rand.New(rand.NewPCG(seed, 2)), res: &Result{Runs: 1, Least: 1, Met: Met{}}, deaf: map[string]time.Time{}, noticed: map[string]bool{}}
 	r.w = world([]int{2, 3, 3, 5}[r.IntN(4)], machines)
 	w := r.w
+	w.Looks = true
 	w.Runs = func(id model.TaskID) time.Duration {
 		if w.Specs[id.Job].Class == "few" {
 			return second + time.Duration(id.Index)*40*second
@@ -51,6 +53,8 @@
 		w.AnyToken = true
 	case Leases:
 		w.Lease *= 5
+	case Synced:
+		w.Unread = true
 	}
 	w.Pass(8 * second)
 	for i := range 2 * machines {
@@ -174,11 +178,87 @@
 		"cut off": func() func() {
 			return member(r.leader(), func(c *fake.Controller, on bool) { c.NoNet, c.Alone = on, on })
 		},
-		"no workers":   func() func() { return member(r.leader(), func(c *fake.Controller, on bool) { c.Deaf = on }) },
-		"frozen":       func() func() { return member(r.leader(), func(c *fake.Controller, on bool) { c.Frozen = on }) },
-		"apart":        func() func() { w.Apart = true; return func() { w.Apart = false } },
-		"outage":       func() func() { w.State.SetDown(true); return func() { w.State.SetDown(false) } },
-		"deaf":         func() func() { return on(3, func(k *fake.Worker, on bool) { k.Deaf = on }) },
+		"no workers": func() func() { return member(r.leader(), func(c *fake.Controller, on bool) { c.Deaf = on }) },
+		"frozen":     func() func() { return member(r.leader(), func(c *fake.Controller, on bool) { c.Frozen = on }) },
+		"apart":      func() func() { w.Apart = true; return func() { w.Apart = false } },
+		"outage":     func() func() { w.State.SetDown(true); return func() { w.State.SetDown(false) } },
+		"deaf":       func() func() { return on(3, func(k *fake.Worker, on bool) { k.Deaf = on }) },
+		"mute":       func() func() { return on(3, func(k *fake.Worker, on bool) { k.Mute = on }) },
+		"half a zone mute or deaf": func() func() {
+			mute, zone := r.IntN(2) == 0, r.IntN(2)
+			var some []*fake.Worker
+			for _, n := range w.Names() {
+				if k := w.Workers[n]; k.Zone == w.Types[0].Zones[zone] && r.IntN(2) == 0 {
+					some = append(some, k)
+				}
+			}
+			set := func(on bool) {
+				for _, k := range some {
+					if mute {
+						k.Mute = on
+					} else {
+						k.Deaf = on
+					}
+				}
+			}
+			set(true)
+			return func() { set(false) }
+		},
+		"cancelled and hung at once": func() func() {
+			var hung []*fake.Worker
+			for range 4 + r.IntN(8) {
+				if len(r.jobs) == 0 {
+					break
+				}
+				j, c := r.jobs[r.IntN(len(r.jobs))], r.member()
+				if j.gone || !c.Up || c.Frozen {
+					continue
+				}
+				r.cancel(c, j)
+				for _, n := range w.Names() {
+					if k := w.Workers[n]; k.Of(j.spec.ID) > 0 && len(hung) < 8 {
+						k.Hung = true
+						hung = append(hung, k)
+					}
+				}
+			}
+			return func() {
+				for _, k := range hung {
+					k.Hung = false
+				}
+				r.release()
+			}
+		},
+		"cancelled at the end": func() func() {
+			r.atEnd = 0.5
+			return func() { r.atEnd = 0 }
+		},
+		"only answers to writes are lost": func() func() {
+			w.Net = r.atOnce
+			return func() { w.Net = nil }
+		},
+		"reports for the next leader": func() func() {
+			l, kept := w.Leader(), slices.Clone(w.Copied)
+			var wait func()
+			wait = func() {
+				if now := w.Leader(); now == nil || now == l {
+					r.in(second/2, wait)
+					return
+				}
+				for _, c := range w.Controllers {
+					for _, rep := range kept[max(0, len(kept)-200):] {
+						w.Late(c, rep)
+					}
+				}
+			}
+			r.in(second/2, wait)
+			return func() {}
+		},
+		"machines up at once": func() func() {
+			was := w.Boot
+			w.Boot = r.some(2 * second)
+			return func() { w.Boot = was }
+		},
 		"out of reach": func() func() { return on(3, func(k *fake.Worker, on bool) { k.Cut = on }) },
 		"hung": func() func() {
 			end := on(3, func(k *fake.Worker, on bool) { k.Hung = on })
@@ -259,6 +339,33 @@
 	return context.DeadlineExceeded, true
 }
 
+// atOnce has the answers to a part of the transactions lost, which are carried out.
+func (r *run) atOnce(_ *fake.Controller, body []byte) (error, bool) {
+	if r.IntN(3) > 0 {
+		return nil, false
+	}
+	_, _ = r.w.State.Call("POST", "/commit", body, second) // refused, or not
+	return context.DeadlineExceeded, true
+}
+
+// ends cancels a part of the jobs whose last task has just ended, before or after the leader knows.
+func (r *run) ends() {
+	for _, j := range r.jobs {
+		if j.over || j.gone || !r.w.AllDone(j.spec.ID) {
+			continue
+		}
+		j.over = true
+		if r.Float64() < r.atEnd {
+			r.in(r.some(second), func() {
+				if c := r.member(); c.Up && !c.Frozen {
+					r.cancel(c, j)
+					r.w.AskAll(j.spec.ID)
+				}
+			})
+		}
+	}
+}
+
 // release has the commands arrive that the network has held.
 func (r *run) release() {
 	held := r.w.Held
@@ -301,7 +408,8 @@
 		}
 	}
 	for _, k := range w.Workers {
-		k.Deaf, k.Cut, k.Hung = false, false, false
+		k.Deaf, k.Mute, k.Cut, k.Hung = false, false, false, false
 	}
 	r.release()
+	w.Calm()
 }
--- a/internal/rehearse/troubles/play.go
+++ b/internal/rehearse/troubles/play.go
@@ -6,12 +6,12 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -31,12 +31,15 @@
 	Longest   float64  `json:"longest_unanswered_s"` // after all troubles
 	Deaf      float64  `json:"deaf_noticed_s"`       // from when a machine with work or orders hears nothing to when it gets no more; the worst
 	Mean      float64  `json:"deaf_noticed_mean_s"`
-	DeafOnes  int      `json:"deaf_noticed"`     // machines
-	Missed    int      `json:"deaf_not_noticed"` // of those that were deaf for a lease and longer
-	Killed    int      `json:"killed_tasks"`     // by their workers' leases
-	Least     float64  `json:"least_served"`     // the least part of a class, a team or a class's largest jobs that began
-	Begin     float64  `json:"largest_begin_s"`  // the latest beginning of one of the largest quarter of a class
-	Gone      float64  `json:"cancelled_gone_s"` // the longest from the word that a job is cancelled to the end of its last task
+	DeafOnes  int      `json:"deaf_noticed"`                // machines
+	Missed    int      `json:"deaf_not_noticed"`            // of those that were deaf for a lease and longer
+	Killed    int      `json:"killed_tasks"`                // by their workers' leases
+	Least     float64  `json:"least_served"`                // the least part of a class, a team or a class's largest jobs that began
+	Begin     float64  `json:"largest_begin_s"`             // the latest beginning of one of the largest quarter of a class
+	Gone      float64  `json:"cancelled_gone_s"`            // the longest from the word that a job is cancelled to the end of its last task
+	Waits     float64  `json:"longest_waiting_with_room_s"` // of a job for which a machine had room, after all troubles
+	Older     int      `json:"older_answers"`               // answers of a member that say less than one before did
+	Asked     int      `json:"questions_answered"`
 	Met       Met      `json:"by_meeting,omitempty"`
 	What      []string `json:"what,omitempty"` // the first broken rules
 }
@@ -51,6 +54,7 @@
 	r.Runs += o.Runs
 	r.Broken, r.Forgotten, r.Missed, r.Killed = r.Broken+o.Broken, r.Forgotten+o.Forgotten, r.Missed+o.Missed, r.Killed+o.Killed
 	r.Longest, r.Deaf, r.Begin, r.Least, r.Gone = max(r.Longest, o.Longest), max(r.Deaf, o.Deaf), max(r.Begin, o.Begin), min(r.Least, o.Least), max(r.Gone, o.Gone)
+	r.Waits, r.Older, r.Asked = max(r.Waits, o.Waits), r.Older+o.Older, r.Asked+o.Asked
 	for pair, n := range o.Met {
 		if r.Met == nil {
 			r.Met = Met{}
@@ -104,6 +108,7 @@
 	jobs    []*job
 	deaf    map[string]time.Time // since when machines hear nothing
 	noticed map[string]bool
+	atEnd   float64 // the part of the jobs that are cancelled as their last task ends
 }
 
 type event struct {
@@ -116,8 +121,7 @@
 	at, began    time.Time
 	answered     time.Time
 	gone, killed bool
-	asked        bool          // its user has asked to cancel it
-	final        wire.JobState // that a user was told
+	over         bool // its last task has ended
 }
 
 func (r *run) in(d time.Duration, do func()) { r.plan = append(r.plan, event{r.w.Now().Add(d), do}) }
@@ -172,6 +176,7 @@
 		}
 		w.Pass(tick)
 		r.listen()
+		r.ends()
 		if now.Sub(start)%(5*second) < tick {
 			r.ask(now.Sub(start) > troubled)
 		}
@@ -301,13 +306,13 @@
 	}
 }
 
-// ask asks about every job at some member that is up.
+// ask asks about every job at some member that is up. The world holds what is told against all that was told before.
 func (r *run) ask(counts bool) {
 	for _, j := range r.jobs {
 		c := r.w.Controllers[r.IntN(len(r.w.Controllers))]
 		if c.Up && !c.Frozen {
-			if v, err := c.Jobs.Lookup(context.Background(), j.spec.ID); err == nil {
-				r.told(j, v.State)
+			if _, err := r.w.Ask(c, j.spec.ID); err == nil {
+				j.answered = r.w.Now()
 			}
 		}
 		if silent := r.w.Now().Sub(j.answered); counts && !j.gone {
@@ -322,40 +327,12 @@
 
 // cancel has a job cancelled through a member.
 func (r *run) cancel(c *fake.Controller, j *job) {
-	j.asked = true
 	if v, err := r.w.Cancel(c, j.spec.ID); err == nil {
-		r.told(j, v.State)
+		j.answered = r.w.Now()
 		j.gone = v.State == wire.StateCancelled
 	}
 }
 
-// told takes what a user was told of a job.
-func (r *run) told(j *job, s wire.JobState) {
-	j.answered = r.w.Now()
-	done := 0
-	for i := range j.spec.Tasks {
-		if r.w.Done[model.TaskID{Job: j.spec.ID, Index: i}] {
-			done++
-		}
-	}
-	rule := ""
-	switch {
-	case s == wire.StateUnknown:
-		rule = "forgotten"
-	case j.final != wire.StateUnknown && s != j.final, s == wire.StateCancelled && !j.asked:
-		rule = "went_back"
-	case s == wire.StateDone && done < j.spec.Tasks && (j.spec.Shape != model.Gang || done == 0):
-		rule = "not_done"
-	}
-	if rule != "" {
-		r.res.Broken++
-		r.res.What = append(r.res.What, fmt.Sprintf("%s: %s is told to be %v, was %v, %d of %d tasks are done", rule, j.spec.ID, s, j.final, done, j.spec.Tasks))
-	}
-	if s.Ended() {
-		j.final = s
-	}
-}
-
 // judge counts what was served.
 func (r *run) judge() {
 	groups := map[string][]*job{}
@@ -387,5 +364,10 @@
 		}
 	}
 	r.res.Broken, r.res.What = r.res.Broken+len(r.w.Broken), append(r.res.What, r.w.Broken...)
-	r.res.Killed, r.res.Gone = r.w.Killed, r.w.Gone.Seconds()
+	r.res.Killed, r.res.Gone, r.res.Waits, r.res.Asked = r.w.Killed, r.w.Gone.Seconds(), r.w.LongestWait.Seconds(), r.w.Asked
+	for _, b := range r.w.Broken {
+		if strings.HasPrefix(b, "went_back") || strings.HasPrefix(b, "forgotten") {
+			r.res.Older++
+		}
+	}
 }
