--- a/internal/control/hearing.go
+++ b/internal/control/hearing.go
@@ -35,7 +35,7 @@
 	for _, a := range m.Rows {
 		runs = runs || a.Holds() && a.Phase != 0
 	}
-	if m.Ear.Wait(now, runs, c.ears) {
+	if m.Detector.Wait(now, runs, c.detector) {
 		c.hearingMoved(m)
 	}
 }
@@ -65,10 +65,10 @@
 	if s.Shows {
 		c.provedAt = now
 	}
-	if m.Ear.Heard(now, s, c.ears) {
+	if m.Detector.Heard(now, s, c.detector) {
 		c.hearingMoved(m)
 	}
-	if m.Ear.State != hearing.Hears {
+	if m.Detector.State != hearing.Hears {
 		c.question(now, m)
 	}
 }
@@ -76,14 +76,14 @@
 // proved takes a proof that a machine hears this leader.
 func (c *Core) proved(now time.Time, m *model.Machine, why string) {
 	c.provedAt = now
-	if m.Ear.Prove(now, why) {
+	if m.Detector.Prove(now, why) {
 		c.hearingMoved(m)
 	}
 }
 
 // hearingMoved tells of a change of a machine's hearing, and counts those in doubt.
 func (c *Core) hearingMoved(m *model.Machine) {
-	was, is := c.inDoubtOf[m], m.Ear.State >= hearing.Doubtful
+	was, is := c.inDoubtOf[m], m.Detector.State >= hearing.Doubtful
 	if is {
 		c.inDoubtOf[m] = true
 	} else {
@@ -91,7 +91,7 @@
 	}
 	if was || is {
 		c.dirty = true
-		c.log.Info("hearing", "machine", m.Name, "is", m.Ear.State.String(), "why", m.Ear.Why, "holding", m.Holding, "in_doubt", len(c.inDoubtOf))
+		c.log.Info("hearing", "machine", m.Name, "is", m.Detector.State.String(), "why", m.Detector.Why, "holding", m.Holding, "in_doubt", len(c.inDoubtOf))
 	}
 }
 
@@ -117,7 +117,7 @@
 // hears tells whether work may be placed on a machine as far as its hearing goes. What rests on
 // questions alone is not believed of many at once: then the fault is likely here.
 func (c *Core) hears(m *model.Machine) bool {
-	return m.Ear.State < hearing.Doubtful || !m.Ear.Sure() && float64(len(c.inDoubtOf)) > max(1, c.set.SilentShare*float64(len(c.machines)))
+	return m.Detector.State < hearing.Doubtful || !m.Detector.Sure() && float64(len(c.inDoubtOf)) > max(1, c.set.SilentShare*float64(len(c.machines)))
 }
 
 // fewInDoubt tells that the machines that seem not to hear are few, so that they may be replaced.
@@ -155,7 +155,7 @@
 // Hearing tells whether a machine hears this leader, as far as it knows.
 func (c *Core) Hearing(machine string) hearing.State {
 	if m := c.machines[machine]; m != nil {
-		return m.Ear.State
+		return m.Detector.State
 	}
 	return hearing.Hears
 }
--- a/internal/control/hearing_test.go
+++ b/internal/control/hearing_test.go
@@ -121,8 +121,8 @@
 		t.Fatalf("refused %v, holding %d: a report alone has decided it", k.refused(), m.Holding)
 	}
 	k.answer(says(name, 1, 2, 1))
-	if m := k.c.machines[name]; m.Life != hearing.Anew || m.Holding != 0 || k.c.jobs["wk-1"].Waiting() != 1 {
-		t.Fatalf("life %v, holding %d, waiting %d", m.Life, m.Holding, k.c.jobs["wk-1"].Waiting())
+	if m := k.c.machines[name]; m.Numbering != hearing.Restarted || m.Holding != 0 || k.c.jobs["wk-1"].Waiting() != 1 {
+		t.Fatalf("life %v, holding %d, waiting %d", m.Numbering, m.Holding, k.c.jobs["wk-1"].Waiting())
 	}
 	k.step(time.Second, Tick{})
 	if _, again := k.on("wk-1"); again.Try == task.Try || again.Try == 0 {
@@ -158,8 +158,8 @@
 		t.Fatal("a copy from the life before has freed a task that runs")
 	}
 	k.answer(says("n-1", 1, 6, 1, task))
-	if m := k.c.machines["n-1"]; m.Holding != 1 || m.Life != hearing.Anew || m.Unsure {
-		t.Errorf("holding %d, life %v, unsure %v", m.Holding, m.Life, m.Unsure)
+	if m := k.c.machines["n-1"]; m.Holding != 1 || m.Numbering != hearing.Restarted || m.Unsure {
+		t.Errorf("holding %d, life %v, unsure %v", m.Holding, m.Numbering, m.Unsure)
 	}
 	// One that it really has no more is gone with the next answer.
 	k.report(time.Second, says("n-1", 1, 7, 1))
@@ -184,8 +184,8 @@
 	}
 	lease("a new life")
 	k.answer(says("n-1", 1, 4, 1))
-	if m := k.c.machines["n-1"]; m.Life != hearing.Anew || m.Seq != 4 {
-		t.Errorf("life %v, number %d", m.Life, m.Seq)
+	if m := k.c.machines["n-1"]; m.Numbering != hearing.Restarted || m.Seq != 4 {
+		t.Errorf("life %v, number %d", m.Numbering, m.Seq)
 	}
 	lease("an answer, which may be a new life's")
 }
@@ -245,8 +245,8 @@
 	k.unanswered()
 	other := map[string]string{"n-1": "n-2", "n-2": "n-1"}[name]
 	k.deaf(6*time.Second, name, 10)
-	if m := k.c.machines[name]; m.Ear.State != hearing.Doubtful {
-		t.Fatalf("%v after three reports without what it was told", m.Ear.State)
+	if m := k.c.machines[name]; m.Detector.State != hearing.Doubtful {
+		t.Fatalf("%v after three reports without what it was told", m.Detector.State)
 	}
 	k.report(0, says(other, 1, 10, 1))
 	if on, _ := k.job("wk-2"); on != other {
@@ -264,26 +264,26 @@
 	k := talks(t, &Snapshot{})
 	k.up("n-1", "n-2", "n-3", "n-4")
 	k.step(5*time.Second, ReportIn{Report: says("n-1", 1, 3, 1), Handed: true})
-	if m := k.c.machines["n-1"]; m.Ear.State != hearing.Asked {
-		t.Fatalf("%v", m.Ear.State)
+	if m := k.c.machines["n-1"]; m.Detector.State != hearing.Asked {
+		t.Fatalf("%v", m.Detector.State)
 	}
 	k.unanswered()
-	if m := k.c.machines["n-1"]; m.Ear.State != hearing.Doubtful || k.c.placeable(k.now, m) {
-		t.Errorf("%v, placeable %v", m.Ear.State, k.c.placeable(k.now, m))
+	if m := k.c.machines["n-1"]; m.Detector.State != hearing.Doubtful || k.c.placeable(k.now, m) {
+		t.Errorf("%v, placeable %v", m.Detector.State, k.c.placeable(k.now, m))
 	}
 	// One whose answers arrive by way of another member keeps its session, and is trusted again.
 	for seq := uint64(4); seq < 12; seq++ {
 		k.step(2*time.Second, ReportIn{Report: says("n-1", 1, seq, 1), Handed: true})
 		k.unanswered()
 	}
-	if m := k.c.machines["n-1"]; m.Ear.State != hearing.Hears {
-		t.Errorf("%v after its session has outlived the doubt", m.Ear.State)
+	if m := k.c.machines["n-1"]; m.Detector.State != hearing.Hears {
+		t.Errorf("%v after its session has outlived the doubt", m.Detector.State)
 	}
 	// Its lease runs out although it was answered: it is asked.
 	k.report(2*time.Second, says("n-2", 1, 3, 1))
 	k.step(13*time.Second, ReportIn{Report: says("n-2", 2, 1, 1), Handed: true})
-	if m := k.c.machines["n-2"]; m.Ear.State != hearing.Asked {
-		t.Errorf("%v: its lease has run out in between", m.Ear.State)
+	if m := k.c.machines["n-2"]; m.Detector.State != hearing.Asked {
+		t.Errorf("%v: its lease has run out in between", m.Detector.State)
 	}
 }
 
@@ -294,8 +294,8 @@
 	k.unanswered()
 	k.deaf(5*time.Second, name, 10)
 	k.report(2*time.Second, says(name, 1, 30, 1, task)) // the launch has reached it after all
-	if m := k.c.machines[name]; m.Ear.State != hearing.Hears || !k.c.placeable(k.now, m) {
-		t.Errorf("%v, %s", m.Ear.State, k.c.unplaceable(k.now, m))
+	if m := k.c.machines[name]; m.Detector.State != hearing.Hears || !k.c.placeable(k.now, m) {
+		t.Errorf("%v, %s", m.Detector.State, k.c.unplaceable(k.now, m))
 	}
 }
 
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -191,7 +191,7 @@
 	ask := !c.returning && !now.Before(c.returnAt)
 	probe := c.wantsProof(now)
 	for _, m := range c.machines {
-		if probe && m.Ear.State == hearing.Hears && c.placeable(now, m) {
+		if probe && m.Detector.State == hearing.Hears && c.placeable(now, m) {
 			probe = !c.question(now, m)
 		}
 		if m.State != model.Booting && now.After(m.Deadline) && (m.Session > m.DeadSession || m.Unsure) {
@@ -202,7 +202,7 @@
 				c.settle(now, m, "lease")
 			}
 		}
-		if m.Ear.State != hearing.Hears && m.State < model.Returning {
+		if m.Detector.State != hearing.Hears && m.State < model.Returning {
 			c.listen(now, m)
 		}
 		switch m.State {
@@ -216,7 +216,7 @@
 				giveBack(m, "silent")
 			case now.Sub(m.LastReport) > c.set.SilentAfter && now.After(c.resumeAt) && !quiet[m.Zone] && !quiet[anyZone]:
 				giveBack(m, "silent")
-			case m.Ear.State == hearing.Deaf && c.fewInDoubt():
+			case m.Detector.State == hearing.Deaf && c.fewInDoubt():
 				giveBack(m, "deaf")
 			case m.Unsure || m.Holding > 0:
 			case m.State == model.Draining:
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -151,7 +151,7 @@
 	m.Direct = false
 	if len(ev.Orders) == 0 && ev.Report == nil && (ev.Outcome == Unknown || ev.Outcome == Refused) {
 		m.Unanswering = true // it was asked whether it is there
-		if m.Ear.Silent(now) {
+		if m.Detector.Silent(now) {
 			c.hearingMoved(m)
 		}
 	}
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -140,7 +140,7 @@
 	case now.Sub(m.LastReport) > c.set.SilentAfter/2:
 		return "its worker is silent"
 	case !c.hears(m):
-		return "it seems not to hear this controller: " + m.Ear.Why
+		return "it seems not to hear this controller: " + m.Detector.Why
 	}
 	return ""
 }
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -21,10 +21,10 @@
 		// A machine that nobody here rented. No leader launches anything on a
 		// machine without a record, so it holds nothing; what this report says may be of long ago.
 		m = c.newMachine(now, model.Listed{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, model.Booting)
-		m.Ear.Strange(now)
+		m.Detector.Strange(now)
 		c.log.Info("unexpected machine reports", "machine", m.Name, "type", r.Type, "zone", r.Zone)
 	}
-	if m.State == model.Booting && m.Ear.State >= hearing.Doubtful && r.Token < c.token {
+	if m.State == model.Booting && m.Detector.State >= hearing.Doubtful && r.Token < c.token {
 		// Guards against a late copy that brings back a machine which an earlier leader has given
 		// back: work was placed on it, and its rows counted, until it was silent for long enough.
 		c.question(now, m)
@@ -39,9 +39,9 @@
 		c.emit(Answer{Refused: true})
 		return
 	}
-	session, life := m.Session, m.Life
+	session, numbering := m.Session, m.Numbering
 	kind := m.Hear(r.Session, r.Seq, r.Token)
-	if m.Life != life {
+	if m.Numbering != numbering {
 		m.Deadline = c.leaseEnd(now) // of the new life, which has begun before now
 		c.log.Warn("machine has begun anew", "machine", m.Name, "known", m.Known(), "session", r.Session, "number", r.Seq, "token", m.Token, "shows", r.Token)
 	}
@@ -84,7 +84,7 @@
 // (docs/safety.md, "Rebuilding"). Guards against work of before the takeover that waits for as long as machines
 // hear nothing, since each of their reports puts off the end of their leases.
 func (c *Core) untold(now time.Time, m *model.Machine) {
-	if m.Ear.Untold(now) {
+	if m.Detector.Untold(now) {
 		c.hearingMoved(m)
 	}
 	c.settle(now, m, "not renewed since the takeover")
--- a/internal/fake/cancel_test.go
+++ b/internal/fake/cancel_test.go
@@ -111,6 +111,53 @@
 	}
 }
 
+// The state service answers slowly, up to seconds late, while users cancel; then it refuses the leader, or leaders change. Whatever
+// was told is gone in time, and what nobody has cancelled runs in the end.
+func TestTheStateServiceAnswersSlowlyWhileUsersCancel(t *testing.T) {
+	for _, most := range []time.Duration{second / 2, second, 2500 * time.Millisecond} {
+		for _, then := range []string{"nothing", "it refuses the leader and then everybody", "the leader ends", "it is out"} {
+			t.Run(fmt.Sprint(most, ", ", then), func(t *testing.T) {
+				r := rand.New(rand.NewPCG(4, 4))
+				w := members(t, 3, 4)
+				w.Looks = true
+				gone, stays := []*model.Spec{job(model.Array, 2, nil), job(model.Gang, 2, nil)}, job(model.Service, 2, nil)
+				running(t, w, append(gone, stays)...)
+				w.Slow = func() time.Duration { return time.Duration(r.Int64N(int64(most))) }
+				w.Pass(10 * second)
+				l := w.Leader()
+				for l == nil {
+					w.Pass(100 * time.Millisecond)
+					l = w.Leader()
+				}
+				if then == "it refuses the leader and then everybody" {
+					l.NoNet = true
+				}
+				tell(t, w, other(w, l), gone...)
+				w.Pass(second)
+				switch then {
+				case "the leader ends":
+					blink(l)
+				case "nothing":
+				default:
+					w.State.SetDown(true)
+				}
+				w.Pass(2 * w.CancelIn)
+				l.NoNet = false
+				w.State.SetDown(false)
+				w.Pass(w.CancelIn)
+				w.Slow = nil
+				w.Calm()
+				until(t, w, 90*second, "what nobody cancelled runs", func() bool { return on(w, stays) == 2 })
+				for _, s := range gone {
+					if on(w, s) > 0 {
+						t.Errorf("%s runs", s.ID)
+					}
+				}
+			})
+		}
+	}
+}
+
 // The leader's own user was told, and the outage for all begins before any change has come by a watch.
 func TestALeaderKnowsWhatItHasToldItself(t *testing.T) {
 	w := members(t, 3, 4)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -47,6 +47,7 @@
 
 	Tick time.Duration                                         // at which time passes
 	Runs func(id model.TaskID) time.Duration                   // how long a task runs; nil: Run
+	Slow func() time.Duration                                  // how long a leader's requests to the state service take to be answered; nil: no time
 	Net  func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction on its way; !ok: nothing. Nil: nothing ever
 	Ear  Ear                                                   // nil: nobody listens
 
@@ -149,6 +150,36 @@
 
 	changes []store.JobChange
 	later   []func()
+	slow    []slowAnswer // of the state service
+	readAt  time.Time    // the changes of the records are not read before this
+}
+
+// slowAnswer is one that is on its way.
+type slowAnswer struct {
+	at time.Time
+	f  func()
+}
+
+// replied takes the answer to a request to the state service, at once or after a while. It was carried out when it was sent.
+func (c *Controller) replied(f func()) {
+	if c.w.Slow == nil {
+		c.later = append(c.later, f)
+		return
+	}
+	c.slow = append(c.slow, slowAnswer{c.w.now.Add(c.w.Slow()), f})
+}
+
+// arrive takes the slow answers that are due.
+func (c *Controller) arrive() {
+	waiting := c.slow
+	c.slow = nil
+	for i, a := range waiting {
+		if !c.w.now.Before(a.at) {
+			c.later = append(c.later, a.f)
+			continue
+		}
+		c.slow = append(c.slow, waiting[i])
+	}
 }
 
 // Call carries a controller's requests to the state service.
@@ -218,7 +249,7 @@
 	c.w.lives++
 	c.State = store.NewOver(c, c, time.Second)
 	c.State.SetRates(1e9, 1e9)
-	c.changes, c.later = nil, nil
+	c.changes, c.later, c.slow, c.readAt = nil, nil, nil, time.Time{}
 	if c.set.Ledger = c.w.ledger; c.Old {
 		c.set.Ledger = nil
 	}
@@ -516,6 +547,7 @@
 	if !c.Up || c.Frozen {
 		return
 	}
+	c.arrive()
 	later := c.later
 	c.later = nil
 	for _, f := range later {
@@ -533,8 +565,11 @@
 		}
 		return
 	}
-	if c.Jobs.Loaded() {
+	if c.Jobs.Loaded() && !c.w.now.Before(c.readAt) {
 		_ = c.Jobs.CatchUp(context.Background()) // tried again with the next step
+		if c.w.Slow != nil {
+			c.readAt = c.w.now.Add(c.w.Slow())
+		}
 	}
 	at := c.Jobs.AsOf()
 	c.applyChanges()
@@ -602,16 +637,16 @@
 		switch e := e.(type) {
 		case election.Look:
 			r, err := c.look()
-			c.later = append(c.later, func() { c.election(election.Looked{Record: r, Err: err}) })
+			c.replied(func() { c.election(election.Looked{Record: r, Err: err}) })
 		case election.Grant:
 			id, err := c.State.Grant(e.Life)
-			c.later = append(c.later, func() { c.election(election.Granted{Lease: id, Sent: sent, Err: err}) })
+			c.replied(func() { c.election(election.Granted{Lease: id, Sent: sent, Err: err}) })
 		case election.Claim:
 			v, ok, err := c.claim(e)
-			c.later = append(c.later, func() { c.election(election.Claimed{OK: ok, Version: v, Err: err}) })
+			c.replied(func() { c.election(election.Claimed{OK: ok, Version: v, Err: err}) })
 		case election.Touch:
 			err := c.State.Touch(e.Lease)
-			c.later = append(c.later, func() {
+			c.replied(func() {
 				c.election(election.Touched{Lease: e.Lease, Sent: sent, Lost: err == store.ErrLeaseOver, Err: err})
 			})
 		case election.AskPromises:
@@ -729,11 +764,17 @@
 	effects := append([]control.Effect(nil), c.Core.Step(c.w.now, ev)...)
 	core := c.Core
 	back := func(ev control.Event) {
-		c.later = append(c.later, func() {
+		f := func() {
 			if c.Core == core {
 				c.act(ev)
 			}
-		})
+		}
+		switch ev.(type) {
+		case control.SaveBack, control.FenceBack:
+			c.replied(f)
+		default:
+			c.later = append(c.later, f)
+		}
 	}
 	for _, e := range effects {
 		c.perform(e, back)
--- a/internal/hearing/voice.go
+++ b/internal/hearing/incarnation.go
@@ -12,16 +12,16 @@
 	return m.Session < o.Session || m.Session == o.Session && m.Seq < o.Seq
 }
 
-// Life is what a leader makes of a machine's numbers.
-type Life uint8
+// Numbering is what a leader makes of a machine's numbers.
+type Numbering uint8
 
-// The lives of a machine. Anew holds until the leader changes.
+// The numberings. Restarted holds until the leader changes.
 const (
-	Steady Life = iota // its numbers have only ever grown
-	Anew               // it has begun again with lower ones: only answers to questions are believed
+	Steady    Numbering = iota // its numbers have only ever grown
+	Restarted                  // it has begun again with lower ones: only answers to questions are believed
 )
 
-func (l Life) String() string { return [...]string{"steady", "anew"}[l] }
+func (n Numbering) String() string { return [...]string{"steady", "restarted"}[n] }
 
 // Kind is what a report is, by its numbers.
 type Kind uint8
@@ -36,54 +36,54 @@
 
 func (k Kind) String() string { return [...]string{"fresh", "repeated", "old", "unsorted"}[k] }
 
-// Voice is what a leader knows of a machine by the numbers of its messages.
-type Voice struct {
+// Incarnation is what a leader knows of the present incarnation of a machine, by the numbers of its messages.
+type Incarnation struct {
 	Session, Seq, Token uint64 // of the newest message
 	DeadSession         uint64 // sessions up to this one are certainly over
-	Life                Life
+	Numbering           Numbering
 	heard               Mark // the newest report; answers to commands have numbers of their own in between
 	asked               Mark // the newest message when the last command left
 }
 
 // Known is the newest message.
-func (v *Voice) Known() Mark { return Mark{v.Session, v.Seq} }
+func (i *Incarnation) Known() Mark { return Mark{i.Session, i.Seq} }
 
 // Reported is the newest report.
-func (v *Voice) Reported() Mark { return v.heard }
+func (i *Incarnation) Reported() Mark { return i.heard }
 
 // Hear takes the numbers of a report and tells what it is.
 //
 // A worker has one report in flight: with the next one it has given the former up. So of an older
 // one nobody waits for the answer, and it renews no lease. A worker never forgets a token, so a
 // newer number with a lower token is of another life than what is known: there are two.
-func (v *Voice) Hear(session, seq, token uint64) Kind {
+func (i *Incarnation) Hear(session, seq, token uint64) Kind {
 	at := Mark{session, seq}
 	switch {
-	case v.Life == Anew:
+	case i.Numbering == Restarted:
 		return Unsorted
-	case session <= v.DeadSession, session < v.Session, at.Before(v.heard):
+	case session <= i.DeadSession, session < i.Session, at.Before(i.heard):
 		return Old
-	case at == v.heard:
+	case at == i.heard:
 		return Repeated
-	case token < v.Token && v.Known().Before(at):
-		v.Life, v.heard = Anew, Mark{}
+	case token < i.Token && i.Known().Before(at):
+		i.Numbering, i.heard = Restarted, Mark{}
 		return Old
 	}
-	v.heard = at
+	i.heard = at
 	return Fresh
 }
 
 // Ask notes that a command leaves now.
-func (v *Voice) Ask() { v.asked = v.Known() }
+func (i *Incarnation) Ask() { i.asked = i.Known() }
 
 // Answered takes the numbers of the answer to the last command, and tells whether the machine has
 // begun anew: in one life an answer has a higher number than everything that was sent before it,
 // and it was sent after all that was known when it was asked for.
-func (v *Voice) Answered(session, seq uint64) bool {
-	if v.asked.Before(Mark{session, seq}) {
+func (i *Incarnation) Answered(session, seq uint64) bool {
+	if i.asked.Before(Mark{session, seq}) {
 		return false
 	}
-	v.Life, v.heard = Anew, Mark{}
-	v.Session, v.Seq, v.Token, v.DeadSession = session, 0, 0, session-1
+	i.Numbering, i.heard = Restarted, Mark{}
+	i.Session, i.Seq, i.Token, i.DeadSession = session, 0, 0, session-1
 	return true
 }
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -185,11 +185,11 @@
 	Unsure   bool
 	Recorded Listed // where it is unsure: what its record says of it
 
-	hearing.Voice             // the numbers of its messages
-	Ear           hearing.Ear // whether it hears this leader
-	Deadline      time.Time   // by then its worker's lease has certainly run out unless a report is answered
-	LastReport    time.Time   // the last report; an answer to a command is none
-	LastSeen      time.Time   // its last message of any kind
+	hearing.Incarnation                  // the numbers of its messages
+	Detector            hearing.Detector // whether it hears this leader
+	Deadline            time.Time        // by then its worker's lease has certainly run out unless a report is answered
+	LastReport          time.Time        // the last report; an answer to a command is none
+	LastSeen            time.Time        // its last message of any kind
 
 	Used    Resources
 	Holding int // attempts that count as being on it
--- a/internal/rehearse/troubles/meet.go
+++ b/internal/rehearse/troubles/meet.go
@@ -401,7 +401,7 @@
 func (r *run) calm() {
 	w := r.w
 	w.State.SetDown(false)
-	w.Net, w.Way, w.Apart = nil, nil, false
+	w.Net, w.Way, w.Slow, w.Apart = nil, nil, nil, false
 	for _, c := range w.Controllers {
 		if c.NoNet, c.NoRead, c.Alone, c.Deaf, c.Frozen = false, false, false, false, false; !c.Up {
 			c.Start()
