--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -449,6 +449,9 @@
 		for _, key := range j.Parts {
 			c.saves = append(c.saves, Save{Kind: DropAwaits, Job: ev.ID, Key: key})
 		}
+		if ev.End != model.EndDone {
+			c.acquit(j)
+		}
 		c.waited(now, j, nil)
 		c.dequeue(j)
 		c.dirty = true
@@ -477,7 +480,7 @@
 		return
 	}
 	j.SetTask(i, model.TaskDone)
-	j.Good, j.Errors = true, 0
+	j.Good, j.Errors, j.Strikes = true, 0, 0
 	j.Dirty[j.Spec.ChunkOf(i)] = true
 	if len(c.dirtyJobs) == 0 {
 		c.flushAt = now.Add(c.set.Flush)
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -76,46 +76,6 @@
 	}
 }
 
-// failed accounts a task that ended with an error: errors of several jobs
-// condemn the machine, errors on several machines put the job off.
-func (c *Core) failed(now time.Time, a *model.Attempt) {
-	j, m := a.Job, a.Machine
-	id := j.Spec.ID
-	m.Errors[id]++
-	j.ErrorOn[m.Name]++
-	j.Errors++
-	jobs, good := 0, false
-	for other, n := range m.Errors {
-		if n > 0 {
-			jobs++
-			if o := c.jobs[other]; o != nil && (o.Good || c.runsElsewhere(now, o, m)) {
-				good = true
-			}
-		}
-	}
-	if jobs >= c.set.SickErrors || good && m.Errors[id] >= c.set.SickErrors {
-		c.drain(now, m, "sick")
-	}
-	if len(j.ErrorOn) >= 2 && !j.Good {
-		wait := c.set.Backoff << min(len(j.ErrorOn)-2, 6)
-		j.NotBefore = now.Add(min(wait, c.set.BackoffMost))
-		if len(j.ErrorOn) >= 4 {
-			j.ErrorOn = map[string]int{m.Name: 1} // it fails everywhere: no machine is to blame
-		}
-	}
-	c.log.Warn("task failed", "task", a.Task, "machine", m.Name, "errors_of_job", j.Errors, "jobs_failing_here", jobs)
-}
-
-// runsElsewhere tells whether a job does well on another machine.
-func (c *Core) runsElsewhere(now time.Time, j *model.Job, m *model.Machine) bool {
-	for _, a := range j.Live {
-		if a.Machine != m && a.Phase == model.Running && now.Sub(a.RunningAt) > 15*time.Second {
-			return true
-		}
-	}
-	return false
-}
-
 // stop tells an attempt to stop.
 func (c *Core) stop(now time.Time, a *model.Attempt, grace time.Duration) {
 	if a.Stop(now, grace) {
@@ -205,6 +165,9 @@
 		if m.Detector.State != hearing.Hears && m.State < model.Returning {
 			c.listen(now, m)
 		}
+		if !m.Suspect.IsZero() {
+			c.blame(now, m)
+		}
 		switch m.State {
 		case model.Booting:
 			if now.Sub(m.Since) > c.set.Fleet.BootLimit(m.Type) {
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -139,6 +139,8 @@
 		return "its worker's lease has run out"
 	case now.Sub(m.LastReport) > c.set.SilentAfter/2:
 		return "its worker is silent"
+	case !m.Suspect.IsZero():
+		return "several jobs have failed on it, and it is not known yet which of them is at fault"
 	case !c.hears(m):
 		return "it seems not to hear this controller: " + m.Detector.Why
 	}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -320,6 +320,7 @@
 			c.taskDone(now, j, i)
 		}
 		a.Machine.Errors[j.Spec.ID] = 0
+		c.cleared(a)
 	case model.CauseError:
 		c.failed(now, a)
 	case model.CauseNoRoom, model.CauseBusy, model.CauseUnknown:
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -45,11 +45,12 @@
 
 	Fetch, Run, Lease, ReportEvery, GangWait, Boot, CancelIn time.Duration
 
-	Tick time.Duration                                         // at which time passes
-	Runs func(id model.TaskID) time.Duration                   // how long a task runs; nil: Run
-	Slow func() time.Duration                                  // how long a leader's requests to the state service take to be answered; nil: no time
-	Net  func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction on its way; !ok: nothing. Nil: nothing ever
-	Ear  Ear                                                   // nil: nobody listens
+	Tick  time.Duration                                         // at which time passes
+	Runs  func(id model.TaskID) time.Duration                   // how long a task runs; nil: Run
+	Boots func() time.Duration                                  // how long a machine takes to come up; nil: Boot
+	Slow  func() time.Duration                                  // how long a leader's requests to the state service take to be answered; nil: no time
+	Net   func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction on its way; !ok: nothing. Nil: nothing ever
+	Ear   Ear                                                   // nil: nobody listens
 
 	Apart    bool // controllers do not reach each other
 	AnyToken bool // workers take orders under any token: a fault of theirs, to show that checks can fail
@@ -834,7 +835,12 @@
 				w.machines++
 				n := fmt.Sprintf("n-%06d", w.machines)
 				names = append(names, n)
-				w.booting[n] = bootingMachine{model.Listed{Machine: n, Type: e.Rental.Type, Zone: e.Rental.Zone, Spot: e.Rental.Spot}, w.now.Add(w.Boot)}
+				boot := w.Boot
+				if w.Boots != nil {
+					boot = w.Boots()
+				}
+				w.booting[n] = bootingMachine{
+					model.Listed{Machine: n, Type: e.Rental.Type, Zone: e.Rental.Zone, Spot: e.Rental.Spot}, w.now.Add(boot)}
 			}
 			w.rented[e.Rental.Name] = names
 		}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -59,12 +59,29 @@
 	WaitSince time.Time // since when a task of it waits
 	Gang      GangState
 
-	Errors    int // errors in a row, with no success between
-	ErrorOn   map[string]int
-	Good      bool // a task of it has completed, or has run well
+	Errors    int             // errors in a row, with no success between
+	ErrorOn   map[string]int  // by machine; nothing of it is placed on these
+	FailedOn  map[string]bool // machines that hold an error against it
+	Strikes   int             // machines on which it has failed, with no success between
+	Good      bool            // a task of it has completed, or has run well
 	NotBefore time.Time
 }
 
+// Failed notes that a task of the job has failed on a machine.
+func (j *Job) Failed(machine string) {
+	j.Errors++
+	j.FailedOn[machine] = true
+	if j.ErrorOn[machine]++; j.ErrorOn[machine] == 1 {
+		j.Strikes++
+	}
+	if len(j.ErrorOn) >= 4 && !j.Good {
+		j.ErrorOn = map[string]int{machine: 1} // it fails everywhere: it may try any machine again
+	}
+}
+
+// Faulty tells that the job itself seems to be at fault: it has failed on several machines, and has done well on none.
+func (j *Job) Faulty() bool { return !j.Good && j.Strikes >= 2 }
+
 // Chunk names a record of finished tasks. It begins at task N, or it is the chunk
 // with that number in the layout of the first version, whose size went by a limit of
 // the state service. Those are read at the size that they were written with; written
@@ -109,7 +126,8 @@
 // NewJob makes the leader's view of an accepted job.
 func NewJob(s *Spec, at time.Time, version uint64) *Job {
 	j := &Job{Spec: s, At: at, Since: at, Rank: s.Rank, Version: version, WaitSince: at, tasks: make([]TaskState, s.Tasks),
-		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[Chunk]bool{}, Recorded: map[Chunk]bool{}, again: map[int]bool{}, ErrorOn: map[string]int{}}
+		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[Chunk]bool{}, Recorded: map[Chunk]bool{}, again: map[int]bool{}, ErrorOn: map[string]int{},
+		FailedOn: map[string]bool{}}
 	j.counts[TaskNew] = s.Tasks
 	for i := s.Tasks - 1; i >= 0; i-- {
 		j.pending[TaskNew] = append(j.pending[TaskNew], i)
--- a/internal/rehearse/troubles/play.go
+++ b/internal/rehearse/troubles/play.go
@@ -325,12 +325,16 @@
 	}
 }
 
-// cancel has a job cancelled through a member.
+// cancel has a job cancelled through a member. Its user asks again until there is an answer.
 func (r *run) cancel(c *fake.Controller, j *job) {
-	if v, err := r.w.Cancel(c, j.spec.ID); err == nil {
-		j.answered = r.w.Now()
-		j.gone = v.State == wire.StateCancelled
+	if c.Up && !c.Frozen {
+		if v, err := r.w.Cancel(c, j.spec.ID); err == nil {
+			j.answered = r.w.Now()
+			j.gone = v.State == wire.StateCancelled
+			return
+		}
 	}
+	r.in(2*second, func() { r.cancel(r.member(), j) })
 }
 
 // judge counts what was served.
