--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -110,7 +110,7 @@
 
 type meetingsCmd struct {
 	troublesCmd
-	Break string `default:"" enum:",knows,tokens,leases,synced" help:"A part to leave out: the bound on what a leader knows of cancellations, workers' tokens, leases as they are, or that answers are as of now."`
+	Break string `default:"" enum:",knows,tokens,leases,synced" help:"A part to leave out; docs/rehearse.md."`
 }
 
 // Run plays and tells what was found.
--- a/internal/control/blame.go
+++ b/internal/control/blame.go
@@ -6,9 +6,10 @@
 	"github.com/glentiller/glentiller/internal/model"
 )
 
-// A task that fails tells of its machine or of its job. One job may have been submitted with a mistake: it fails on every
-// machine, until its user cancels it. A sick machine fails every task. Who is to blame follows from
-// what else is known of either, and where that is not enough the machine gets no work until more is.
+// A task that fails tells of its machine or of its job. One job may have been submitted with a mistake: it
+// fails on every machine, until its user cancels it. A sick machine fails every task. Who is to blame
+// follows from what else is known of either, and where that is not enough the machine gets no work until
+// more is.
 
 // suspectMost is how long a machine is left alone at the most while nothing more becomes known.
 const suspectMost = 45 * time.Second
@@ -28,9 +29,10 @@
 	c.log.Warn("task failed", "task", a.Task, "machine", m.Name, "errors_of_job", j.Errors, "jobs_failing_here", jobs)
 }
 
-// blame looks at a machine on which tasks have failed, and says how many jobs fail there that are not at fault themselves. It
-// is sick if such as do well elsewhere do; if nothing is known of them yet it is left alone until they have run elsewhere.
-// Guards against healthy machines that are given back, one after the other, since two jobs with a mistake fail on them.
+// blame looks at a machine on which tasks have failed, and says how many jobs fail there that are not at
+// fault themselves. It is sick if such as do well elsewhere do; if nothing is known of them yet it is left
+// alone until they have run elsewhere. Guards against healthy machines that are given back, one after the
+// other, since two jobs with a mistake fail on them.
 func (c *Core) blame(now time.Time, m *model.Machine) (jobs int) {
 	proven, twice := 0, false
 	for id, n := range m.Errors {
@@ -45,7 +47,8 @@
 		}
 	}
 	switch {
-	case proven >= c.set.SickErrors || twice, jobs >= c.set.SickErrors && !m.Suspect.IsZero() && now.Sub(m.Suspect) > suspectMost:
+	case proven >= c.set.SickErrors || twice,
+		jobs >= c.set.SickErrors && !m.Suspect.IsZero() && now.Sub(m.Suspect) > suspectMost:
 		m.Suspect = time.Time{}
 		c.drain(now, m, "sick")
 	case jobs < c.set.SickErrors:
@@ -60,7 +63,8 @@
 	return jobs
 }
 
-// cleared takes that a task has completed on a machine: if it was started after the last failure there, the machine is well.
+// cleared takes that a task has completed on a machine: if it was started after the last failure there, the
+// machine is well.
 func (c *Core) cleared(a *model.Attempt) {
 	if m := a.Machine; a.LaunchedAt.After(m.FailedAt) {
 		clear(m.Errors)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -155,7 +155,9 @@
 		gone: map[string]time.Time{}, use: map[string]*model.Usage{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
 		dirtyJobs: map[string]bool{}, ruled: map[*model.Job]*ruled{}, keptGPU: map[*model.MachineType]bool{}, doubts: map[machineKind]int{}, quietAt: map[string]time.Time{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
-		resumeAt: now.Add(set.SilentAfter), detector: hearing.Settings{Lease: set.Lease, Gap: max(dropped, set.Report+set.Report/2), Replace: set.SilentAfter}, inDoubtOf: map[*model.Machine]bool{}, provedAt: now}
+		resumeAt:  now.Add(set.SilentAfter),
+		detector:  hearing.Settings{Lease: set.Lease, Gap: max(dropped, set.Report+set.Report/2), Replace: set.SilentAfter},
+		inDoubtOf: map[*model.Machine]bool{}, provedAt: now}
 	for i := range set.Teams {
 		c.teams[set.Teams[i].Name] = &set.Teams[i]
 		c.use[set.Teams[i].Name] = &model.Usage{}
--- a/internal/control/hearing.go
+++ b/internal/control/hearing.go
@@ -91,7 +91,8 @@
 	}
 	if was || is {
 		c.dirty = true
-		c.log.Info("hearing", "machine", m.Name, "is", m.Detector.State.String(), "why", m.Detector.Why, "holding", m.Holding, "in_doubt", len(c.inDoubtOf))
+		c.log.Info("hearing", "machine", m.Name, "is", m.Detector.State.String(), "why", m.Detector.Why,
+			"holding", m.Holding, "in_doubt", len(c.inDoubtOf))
 	}
 }
 
@@ -117,7 +118,8 @@
 // hears tells whether work may be placed on a machine as far as its hearing goes. What rests on
 // questions alone is not believed of many at once: then the fault is likely here.
 func (c *Core) hears(m *model.Machine) bool {
-	return m.Detector.State < hearing.Doubtful || !m.Detector.Sure() && float64(len(c.inDoubtOf)) > max(1, c.set.SilentShare*float64(len(c.machines)))
+	many := float64(len(c.inDoubtOf)) > max(1, c.set.SilentShare*float64(len(c.machines)))
+	return m.Detector.State < hearing.Doubtful || !m.Detector.Sure() && many
 }
 
 // fewInDoubt tells that the machines that seem not to hear are few, so that they may be replaced.
@@ -129,9 +131,9 @@
 	return len(c.inDoubtOf) > 1 && now.Sub(c.provedAt) > c.set.SilentAfter+2*time.Second && len(c.inDoubtOf) >= c.reporting(now)/2
 }
 
-// wantsProof tells that machines are in doubt, and that none has proved lately that it hears: one that is not in doubt is asked.
-// Guards against a leader that hands over since half of all machines hear nothing, while the others had no
-// reason to prove that they do: each takeover then kept work of before waiting anew.
+// wantsProof tells that machines are in doubt, and that none has proved lately that it hears: one that is
+// not in doubt is asked. Guards against a leader that hands over since half of all machines hear nothing,
+// while the others had no reason to prove that they do: each takeover then kept work of before waiting anew.
 func (c *Core) wantsProof(now time.Time) bool {
 	return len(c.inDoubtOf) > 1 && now.Sub(c.provedAt) > c.set.SilentAfter/2
 }
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -243,7 +243,8 @@
 	}
 	asked := 0
 	for _, m := range c.machines {
-		if m.Unsure && !m.Unanswering && !m.Direct && m.Addr != "" && m.State < model.Returning && now.Sub(m.Asked) > askEvery && asked < maxAsked {
+		if m.Unsure && !m.Unanswering && !m.Direct && m.Addr != "" && m.State < model.Returning &&
+			now.Sub(m.Asked) > askEvery && asked < maxAsked {
 			m.Asked = now
 			asked++
 			c.asking++
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -78,11 +78,10 @@
 	return out
 }
 
-// forgettable tells whether the row of an ended attempt may be removed: what it
-// did is durable, and no copy of its launch can come late. One that went straight to the worker and was
-// answered may yet be repeated by the network: its row stays for some leases, and
-// maxStraight keeps reports within their limit. Guards against a repeat that starts a stopped task beside its next start,
-// or one of a cancelled job.
+// forgettable tells whether the row of an ended attempt may be removed: what it did is durable, and no copy
+// of its launch can come late. One that went straight to the worker and was answered may yet be repeated by
+// the network: its row stays for some leases, and maxStraight keeps reports within their limit. Guards
+// against a repeat that starts a stopped task beside its next start, or one of a cancelled job.
 func (c *Core) forgettable(now time.Time, a *model.Attempt) bool {
 	if a.Straight && now.Sub(a.EndedAt) < repeatKept*c.set.Lease {
 		return false
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -79,10 +79,10 @@
 	}
 }
 
-// untold takes a fresh report of a machine that has reported since the takeover, and has not taken this leader's token for
-// more than a lease: nothing that a leader before has started is on it, but for what its reports have shown
-// (docs/safety.md, "Rebuilding"). Guards against work of before the takeover that waits for as long as machines
-// hear nothing, since each of their reports puts off the end of their leases.
+// untold takes a fresh report of a machine that has reported since the takeover, and has not taken this
+// leader's token for more than a lease: nothing that a leader before has started is on it, but for what its
+// reports have shown (docs/safety.md, "Rebuilding"). Guards against work of before the takeover that waits
+// for as long as machines hear nothing, since each of their reports puts off the end of their leases.
 func (c *Core) untold(now time.Time, m *model.Machine) {
 	if m.Detector.Untold(now) {
 		c.hearingMoved(m)
--- a/internal/fake/answers_test.go
+++ b/internal/fake/answers_test.go
@@ -14,8 +14,9 @@
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
-// Users ask at all members at the very moment at which a record changes, repeat their submissions, and cancel at once or as
-// the last task ends. The world holds every answer against all answers before it (history.go).
+// Users ask at all members at the very moment at which a record changes, repeat their submissions, and
+// cancel at once or as the last task ends. The world holds every answer against all answers before it
+// (history.go).
 
 // lost has the answers of a part of all transactions lost; at once they are carried out, or seconds later.
 func lost(w *World, r *rand.Rand, part float64, atOnce bool) (later *[]func()) {
@@ -88,7 +89,8 @@
 			each := tr.begins(w, r)
 			told := answers(t, w, r, each)
 			if told[wire.StateDone] < 5 || told[wire.StateCancelled] < 5 || w.Asked < 500 {
-				t.Errorf("cancellations at the end: %d were answered done, %d cancelled; %d questions were answered", told[wire.StateDone], told[wire.StateCancelled], w.Asked)
+				t.Errorf("cancellations at the end: %d were answered done, %d cancelled; %d questions were answered",
+					told[wire.StateDone], told[wire.StateCancelled], w.Asked)
 			}
 		})
 	}
--- a/internal/fake/cancel_test.go
+++ b/internal/fake/cancel_test.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// The state service answers slowly, up to seconds late, while users cancel; then it refuses the leader, or leaders change. Whatever
-// was told is gone in time, and what nobody has cancelled runs in the end.
+// The state service answers slowly, up to seconds late, while users cancel; then it refuses the leader, or
+// leaders change. Whatever was told is gone in time, and what nobody has cancelled runs in the end.
 func TestTheStateServiceAnswersSlowlyWhileUsersCancel(t *testing.T) {
 	for _, most := range []time.Duration{second / 2, second, 2500 * time.Millisecond} {
 		for _, then := range []string{"nothing", "it refuses the leader and then everybody", "the leader ends", "it is out"} {
--- a/internal/fake/history.go
+++ b/internal/fake/history.go
@@ -10,9 +10,9 @@
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
-// history is what users were told of one job, in the order of the answers. Here each question is answered within a moment,
-// so an answer is older than another one if it comes after it and says less: an accepted job stays
-// known, and an end stays as it is.
+// history is what users were told of one job, in the order of the answers. Here each question is answered
+// within a moment, so an answer is older than another one if it comes after it and says less: an accepted
+// job stays known, and an end stays as it is.
 type history struct {
 	at      time.Time // of the first answer that the job is known
 	by      string    // who gave the last answer that counts
--- a/internal/fake/leaders_test.go
+++ b/internal/fake/leaders_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// All controllers are away for longer than a lease, ended or standing still. Jobs that were cancelled right before are gone in
-// time, those that were accepted are known, and all that was running runs again.
+// All controllers are away for longer than a lease, ended or standing still. Jobs that were cancelled right
+// before are gone in time, those that were accepted are known, and all that was running runs again.
 func TestAllControllersAreAwayForLongerThanALease(t *testing.T) {
 	for _, frozen := range []bool{false, true} {
 		w := members(t, 3, 6)
--- a/internal/fake/limits_test.go
+++ b/internal/fake/limits_test.go
@@ -8,8 +8,8 @@
 	"github.com/glentiller/glentiller/internal/model"
 )
 
-// Teams at their limits, and jobs that are cancelled on machines which hang, are cut off, deaf or mute. What may still run
-// there counts against the limit; what is gone does not, soon after.
+// Teams at their limits, and jobs that are cancelled on machines which hang, are cut off, deaf or mute. What
+// may still run there counts against the limit; what is gone does not, soon after.
 
 // away is a way in which a machine cannot be told anything, or tells nothing.
 type away struct {
@@ -143,7 +143,8 @@
 // A machine hangs while a task of a cancelled job saves there, or right after it has answered the stop, and goes on
 // within its lease: the task is gone in time all the same.
 func TestATaskThatSavesOnAMachineThatHangs(t *testing.T) {
-	for _, at := range []string{"asked to save, then cancelled, then hung", "cancelled and hung at once", "cancelled, answered, hung"} {
+	for _, at := range []string{"asked to save, then cancelled, then hung", "cancelled and hung at once",
+		"cancelled, answered, hung"} {
 		for _, long := range []time.Duration{3 * second, 8 * second, 11 * second, 30 * second} {
 			w := members(t, 3, 1)
 			w.Capacity = 1
--- a/internal/fake/mute_test.go
+++ b/internal/fake/mute_test.go
@@ -50,14 +50,17 @@
 		if met < 5 || vain > 0 {
 			t.Errorf("new leader %v: %d stops for the mute machine, after which it got work %d times", newLeader, met, vain)
 		}
-		until(t, w, w.Lease, "what ran there runs elsewhere", func() bool { return on(w, stays) == 2 && (w.Workers[mute.Name] != mute || mute.Of(stays.ID) == 0) })
+		until(t, w, w.Lease, "what ran there runs elsewhere", func() bool {
+			return on(w, stays) == 2 && (w.Workers[mute.Name] != mute || mute.Of(stays.ID) == 0)
+		})
 		mute.Mute = false
 		w.Pass(w.CancelIn)
 	}
 }
 
-// Half of a zone, or all of it, is away for longer than a lease, in one way or another. There is room elsewhere: what ran
-// there runs again before the trouble is over, and soon after it all machines that are left are of use.
+// Half of a zone, or all of it, is away for longer than a lease, in one way or another. There is room
+// elsewhere: what ran there runs again before the trouble is over, and soon after it all machines that are
+// left are of use.
 func TestPartOfAZoneIsAway(t *testing.T) {
 	for _, way := range ways {
 		for _, half := range []bool{true, false} {
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -15,8 +15,8 @@
 // Troubles that were on no list: a controller that stands still while its clocks run on, a guest team without a
 // guarantee, jobs that were submitted with a mistake, and machines that come late or never.
 
-// The leader, or all members, stand still for seconds or a minute. What has piled up is taken when they go on; nobody acts
-// by a right that has passed, and what was cancelled meanwhile is gone in time.
+// The leader, or all members, stand still for seconds or a minute. What has piled up is taken when they go
+// on; nobody acts by a right that has passed, and what was cancelled meanwhile is gone in time.
 func TestControllersThatStandStill(t *testing.T) {
 	for _, all := range []bool{false, true} {
 		for _, long := range []time.Duration{second, 3 * second, 8 * second, 20 * second, 70 * second} {
@@ -57,8 +57,9 @@
 	}
 }
 
-// A guest team without a guarantee sends a swarm of tiny tight jobs, a huge array, and work for idle machines. The other
-// teams' production and what is within their guarantees starts soon, and nothing of the guests is starved.
+// A guest team without a guarantee sends a swarm of tiny tight jobs, a huge array, and work for idle
+// machines. The other teams' production and what is within their guarantees starts soon, and nothing of the
+// guests is starved.
 func TestAGuestTeamsSwarm(t *testing.T) {
 	w := worldOf(3, 12, 4)
 	t.Cleanup(func() {
@@ -156,8 +157,9 @@
 	return nil
 }
 
-// Several jobs were submitted with a mistake and fail on every machine until they are cancelled. Attempts and machines that are
-// spent on them are bounded, no healthy machine is blamed, and one that is sick is found while they run.
+// Several jobs were submitted with a mistake and fail on every machine until they are cancelled. Attempts
+// and machines that are spent on them are bounded, no healthy machine is blamed, and one that is sick is
+// found while they run.
 func TestJobsWithAMistakeAndASickMachine(t *testing.T) {
 	w := members(t, 3, 8)
 	w.Run, w.Capacity = 20*second, 12
@@ -210,8 +212,8 @@
 	}
 }
 
-// Machines come late, and some never. A gang waits for them no longer than it has to: what does not come up is given back, and
-// rented elsewhere.
+// Machines come late, and some never. A gang waits for them no longer than it has to: what does not come up
+// is given back, and rented elsewhere.
 func TestMachinesThatComeLateOrNever(t *testing.T) {
 	for seed := range 4 {
 		r := rand.New(rand.NewPCG(uint64(seed), 1))
--- a/internal/fake/waits.go
+++ b/internal/fake/waits.go
@@ -42,7 +42,9 @@
 		}
 	}
 	for id, h := range w.told {
-		if s := w.Specs[id]; h.final != 0 || w.askedToCancel(id) || w.Bad[id] || !w.waits(s, held) || !w.roomFor(s, used[s.Team], free, zones[id]) {
+		s := w.Specs[id]
+		if h.final != 0 || w.askedToCancel(id) || w.Bad[id] || !w.waits(s, held) ||
+			!w.roomFor(s, used[s.Team], free, zones[id]) {
 			delete(w.waiting, id)
 			continue
 		}
@@ -90,7 +92,8 @@
 }
 
 // roomFor tells whether machines have room for a task of a job, or for all of a gang.
-func (w *World) roomFor(s *model.Spec, used model.Resources, free map[*Worker]model.Resources, zones map[string]int) bool {
+func (w *World) roomFor(s *model.Spec, used model.Resources, free map[*Worker]model.Resources,
+	zones map[string]int) bool {
 	n := 1
 	if s.Shape == model.Gang {
 		n = s.Tasks
@@ -101,7 +104,8 @@
 	fits := map[string]int{}
 	for k, f := range free {
 		fine := !k.Cut && !k.Deaf && !k.Mute && !k.Hung && !k.Sick && k.Notice == 0
-		if !fine || !s.AllowsType(k.Type) || s.Zone != "" && s.Zone != k.Zone || k.Spot && !s.Spot || s.OneZone && len(zones) > 0 && zones[k.Zone] == 0 {
+		if !fine || !s.AllowsType(k.Type) || s.Zone != "" && s.Zone != k.Zone || k.Spot && !s.Spot ||
+			s.OneZone && len(zones) > 0 && zones[k.Zone] == 0 {
 			continue
 		}
 		if allowed := w.Allowed[s.ID]; allowed != nil && !allowed(k) {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -196,7 +196,8 @@
 			k.w.Saves[t.ID]++
 		}
 	}
-	if !k.Cut && !k.Mute && (!now.Before(k.nextRep) || k.changed && !k.waits && now.Sub(k.lastRep) >= 500*time.Millisecond) {
+	news := k.changed && !k.waits && now.Sub(k.lastRep) >= 500*time.Millisecond
+	if !k.Cut && !k.Mute && (!now.Before(k.nextRep) || news) {
 		k.send()
 	}
 }
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -48,8 +48,8 @@
 	Tick  time.Duration                                         // at which time passes
 	Runs  func(id model.TaskID) time.Duration                   // how long a task runs; nil: Run
 	Boots func() time.Duration                                  // how long a machine takes to come up; nil: Boot
-	Slow  func() time.Duration                                  // how long a leader's requests to the state service take to be answered; nil: no time
-	Net   func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction on its way; !ok: nothing. Nil: nothing ever
+	Slow  func() time.Duration                                  // that the state service takes to answer a leader; nil: none
+	Net   func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction; !ok: nothing
 	Ear   Ear                                                   // nil: nobody listens
 
 	Apart    bool // controllers do not reach each other
@@ -81,8 +81,8 @@
 	told   map[string]*history // what users were told, by job
 	ledger *control.Ledger
 
-	Looks       bool          // users ask every controller about a job at the moment at which a transaction changes its record
-	Unread      bool          // members answer from what they have read last: a fault of theirs, to show that checks can fail
+	Looks       bool          // users ask everywhere about a job as a transaction changes its record
+	Unread      bool          // members answer from what they have read last: shows that checks can fail
 	Asked       int           // questions of users that were answered
 	LongestWait time.Duration // of a job for which there was room, once troubles were over
 	looking     bool
@@ -161,7 +161,8 @@
 	f  func()
 }
 
-// replied takes the answer to a request to the state service, at once or after a while. It was carried out when it was sent.
+// replied takes the answer to a request to the state service, at once or after a while. It was carried out
+// when it was sent.
 func (c *Controller) replied(f func()) {
 	if c.w.Slow == nil {
 		c.later = append(c.later, f)
@@ -225,7 +226,8 @@
 		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, ToldBy: map[string]string{}, Teams: map[string]model.Team{},
 		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
 		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
-		seen: map[string]bool{}, told: map[string]*history{}, Allowed: map[string]func(k *Worker) bool{}, Awaits: map[string][]string{}, Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
+		seen: map[string]bool{}, told: map[string]*history{}, Allowed: map[string]func(k *Worker) bool{}, Awaits: map[string][]string{},
+		Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
 	w.State = NewState(func() time.Time { return w.now })
 	w.State.Carried = w.look
 	w.Bound, _ = word.Within(set.Cancel, set.Lease)
--- a/internal/fake/zones_test.go
+++ b/internal/fake/zones_test.go
@@ -11,10 +11,11 @@
 	"github.com/glentiller/glentiller/internal/model"
 )
 
-// Old reports as a new leader begins, machines that are up at once, jobs that are bound to a zone, and more work than room.
+// Old reports as a new leader begins, machines that are up at once, jobs that are bound to a zone, and more
+// work than room.
 
-// Every report of a while comes again to every controller just as a new leader begins, and again when it acts. Jobs of two and three
-// tasks end far apart. Each task starts once.
+// Every report of a while comes again to every controller just as a new leader begins, and again when it
+// acts. Jobs of two and three tasks end far apart. Each task starts once.
 func TestOldReportsReachEveryControllerAsANewLeaderBegins(t *testing.T) {
 	for _, session := range []bool{false, true} {
 		w := members(t, 3, 4)
@@ -70,7 +71,8 @@
 	}
 }
 
-// Machines are up within two seconds and get work at once, transactions are late or their answers lost, and the leader ends.
+// Machines are up within two seconds and get work at once, transactions are late or their answers lost, and
+// the leader ends.
 func TestMachinesUpAtOnceWhileWritesLagAndTheLeaderEnds(t *testing.T) {
 	for seed := range 6 {
 		for _, atOnce := range []bool{false, true} {
@@ -112,16 +114,19 @@
 	}
 }
 
-// A zone with workers and a controller is cut off for longer than a lease, or its machines are lost. What is bound to it, or has
-// to be in one zone, runs nowhere else while anything of it may still be there, and again soon after.
+// A zone with workers and a controller is cut off for longer than a lease, or its machines are lost. What is
+// bound to it, or has to be in one zone, runs nowhere else while anything of it may still be there, and
+// again soon after.
 func TestJobsBoundToAZoneThatIsCutOff(t *testing.T) {
-	for _, how := range []string{"cut off", "cut off, and its controller leads", "machines are gone", "cut off, and the leader ends"} {
+	for _, how := range []string{"cut off", "cut off, and its controller leads", "machines are gone",
+		"cut off, and the leader ends"} {
 		t.Run(how, func(t *testing.T) {
 			w := members(t, 3, 8)
 			w.Capacity = 10
 			bound := func(s *model.Spec) { s.Zone = "a" }
 			oneZone := func(s *model.Spec) { s.OneZone = true }
-			jobs := []*model.Spec{job(model.Array, 3, bound), job(model.Array, 3, oneZone), job(model.Gang, 3, oneZone), job(model.Service, 2, bound)}
+			jobs := []*model.Spec{job(model.Array, 3, bound), job(model.Array, 3, oneZone), job(model.Gang, 3, oneZone),
+				job(model.Service, 2, bound)}
 			running(t, w, jobs...)
 			inside := w.Controllers[0]
 			if how == "cut off, and its controller leads" {
@@ -172,8 +177,8 @@
 	}
 }
 
-// There is more work than room, urgent and not, while commands and their answers are held up: stops, launches and reports are each
-// late, and teams are at their limits.
+// There is more work than room, urgent and not, while commands and their answers are held up: stops,
+// launches and reports are each late, and teams are at their limits.
 func TestMoreWorkThanRoomWhileCommandsAreHeldUp(t *testing.T) {
 	held, stopped := 0, 0
 	for seed := range 6 {
@@ -227,8 +232,8 @@
 	}
 }
 
-// One-task jobs come four a second for three minutes, a quarter of them is cancelled, at the smallest limits that a state service has here. What is
-// written, and what queues, is bounded; all are over soon after.
+// One-task jobs come four a second for three minutes, a quarter of them is cancelled, at the smallest limits
+// that a state service has here. What is written, and what queues, is bounded; all are over soon after.
 func TestManySmallJobs(t *testing.T) {
 	w := members(t, 3, 8)
 	w.Run, w.Fetch = 3*second, 200*time.Millisecond
--- a/internal/front/away_test.go
+++ b/internal/front/away_test.go
@@ -122,14 +122,17 @@
 		q          route.Request
 		older, end route.Answer
 	}{
-		{route.Request{Kind: route.Poll, ID: "wk-000001"}, route.Answer{Status: 200, Body: wire.AppendStatus(nil, "wk-000001", wire.StateRunning, 1, 1)},
+		{route.Request{Kind: route.Poll, ID: "wk-000001"},
+			route.Answer{Status: 200, Body: wire.AppendStatus(nil, "wk-000001", wire.StateRunning, 1, 1)},
 			route.Answer{Status: 200, Body: wire.AppendStatus(nil, "wk-000001", wire.StateDone, 3, 0)}},
-		{route.Request{Kind: route.Submit, ID: "wk-000001", Body: body}, route.Answer{Status: 201, Body: wire.AppendShortStatus(nil, "wk-000001", wire.StateQueued)},
+		{route.Request{Kind: route.Submit, ID: "wk-000001", Body: body},
+			route.Answer{Status: 201, Body: wire.AppendShortStatus(nil, "wk-000001", wire.StateQueued)},
 			route.Answer{Status: 200, Body: wire.AppendShortStatus(nil, "wk-000001", wire.StateDone)}},
 	} {
 		views := &slowRecords{}
 		b := &backend{types: eight}
-		s := New(Settings{RetryAfter: time.Second, Conns: 10, Router: router(time.Millisecond)}, views, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		set := Settings{RetryAfter: time.Second, Conns: 10, Router: router(time.Millisecond)}
+		s := New(set, views, b, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		b.hand = func(context.Context, string, route.Request) route.Answer {
 			views.ended.Store(true)
 			return c.older
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -274,16 +274,21 @@
 	}
 }
 
-// Each required field missing, null, of another type and out of its range; and what can never run. Whether the catalogue has
-// changed meanwhile, a known job is answered as it stands, whatever its submission says by now; nothing is kept of the others.
+// Each required field missing, null, of another type and out of its range; and what can never run. Whether
+// the catalogue has changed meanwhile, a known job is answered as it stands, whatever its submission says by
+// now; nothing is kept of the others.
 func TestOddSubmissionsAreAnsweredAsThePageSays(t *testing.T) {
 	r := &records{known: map[string]store.JobView{}}
 	b := &backend{types: eight}
 	do := serve(t, r, b)
-	odd := map[string][]any{"ref": {nil, 7, "", "x", []any{"wk-000001"}}, "jobclass": {nil, 1, ""}, "owner": {nil, 1, true, ""}, "shape": {nil, 1, "", "arrays"},
-		"rank": {nil, 2, "", "boss"}, "rows": {nil, "4", 4.0, 0, -1, 100_001}, "cores": {nil, "8", -1, math.NaN(), math.Inf(1), 1e9}, "cards": {nil, "0", -1.0},
-		"memoryGb": {nil, false, -0.5}, "oneZone": {nil, 0, "false"}, "scatter": {nil, 1, "no"}, "loaners": {nil, 1}, "seed": {nil, 5},
-		"imageGb": {nil, "1", -1.0}, "expectS": {nil, "30", -1.0, math.Inf(1)}, "markS": {nil, []any{}, -1}, "storeS": {nil, map[string]any{}, -2}}
+	odd := map[string][]any{"ref": {nil, 7, "", "x", []any{"wk-000001"}}, "jobclass": {nil, 1, ""}, "owner": {nil, 1, true, ""},
+		"shape": {nil, 1, "", "arrays"},
+		"rank":  {nil, 2, "", "boss"}, "rows": {nil, "4", 4.0, 0, -1, 100_001}, "cores": {nil, "8", -1, math.NaN(), math.Inf(1), 1e9},
+		"cards":    {nil, "0", -1.0},
+		"memoryGb": {nil, false, -0.5}, "oneZone": {nil, 0, "false"}, "scatter": {nil, 1, "no"}, "loaners": {nil, 1},
+		"seed":    {nil, 5},
+		"imageGb": {nil, "1", -1.0}, "expectS": {nil, "30", -1.0, math.Inf(1)}, "markS": {nil, []any{}, -1},
+		"storeS": {nil, map[string]any{}, -2}}
 	for field := range submission("wk-000001") {
 		if len(odd[field]) == 0 {
 			t.Errorf("%s is not tried", field)
@@ -300,7 +305,8 @@
 			}
 		}
 	}
-	for field, values := range map[string][]any{"breeds": {"eight", []any{1}, map[string]any{}}, "field": {1, "", []any{"a"}}, "dueS": {"60", -1, math.NaN()}} {
+	for field, values := range map[string][]any{"breeds": {"eight", []any{1}, map[string]any{}},
+		"field": {1, "", []any{"a"}}, "dueS": {"60", -1, math.NaN()}} {
 		for _, v := range values {
 			m := submission("wk-000001")
 			m[field] = v
@@ -311,10 +317,13 @@
 	}
 	type job = map[string]any
 	never := map[string]job{
-		"no such type": {"breeds": []any{"nine"}}, "no such zone": {"field": "z"}, "too many cores": {"cores": 8.5}, "too much memory": {"memoryGb": 65}, "cards that nobody has": {"cards": 1},
-		"a gang over the limit": {"shape": "ensemble", "rows": 9}, "a service over the limit": {"shape": "daemon", "rows": 9}, "no such team": {"owner": "nobody"},
-		"a gang spread over one zone": {"shape": "ensemble", "rows": 2, "scatter": true}, "spread, and in a zone": {"shape": "daemon", "rows": 2, "scatter": true, "field": "a"},
-		"spread, and in one zone": {"shape": "ensemble", "rows": 2, "scatter": true, "oneZone": true},
+		"no such type": {"breeds": []any{"nine"}}, "no such zone": {"field": "z"}, "too many cores": {"cores": 8.5},
+		"too much memory": {"memoryGb": 65}, "cards that nobody has": {"cards": 1},
+		"a gang over the limit": {"shape": "ensemble", "rows": 9}, "a service over the limit": {"shape": "daemon", "rows": 9},
+		"no such team":                {"owner": "nobody"},
+		"a gang spread over one zone": {"shape": "ensemble", "rows": 2, "scatter": true},
+		"spread, and in a zone":       {"shape": "daemon", "rows": 2, "scatter": true, "field": "a"},
+		"spread, and in one zone":     {"shape": "ensemble", "rows": 2, "scatter": true, "oneZone": true},
 	}
 	for what, fields := range never {
 		m := submission("wk-000001")
@@ -326,7 +335,8 @@
 	if len(r.known) > 0 {
 		t.Fatalf("something of it was kept: %v", r.known)
 	}
-	for what, fields := range map[string]job{"one task spread in a zone": {"shape": "ensemble", "rows": 1, "scatter": true, "field": "a"}, "an array spread over one zone": {"scatter": true}} {
+	for what, fields := range map[string]job{
+		"one task spread in a zone": {"shape": "ensemble", "rows": 1, "scatter": true, "field": "a"}, "an array spread over one zone": {"scatter": true}} {
 		m := submission("wk-000003")
 		maps.Copy(m, fields)
 		if code, _, _ := do("POST", "/api/jobs", m); code != 201 && code != 200 {
@@ -336,7 +346,8 @@
 	if code, _, _ := do("POST", "/api/jobs", submission("wk-000001")); code != 201 {
 		t.Fatal("the good one is not taken")
 	}
-	for _, types := range [][]model.MachineType{eight, {{Name: "tiny", Cap: model.Resources{CPU: 1}, Zones: []string{"b"}}}, nil} {
+	tiny := []model.MachineType{{Name: "tiny", Cap: model.Resources{CPU: 1}, Zones: []string{"b"}}}
+	for _, types := range [][]model.MachineType{eight, tiny, nil} {
 		b.types = types // the catalogue has changed, or is not known
 		for what, fields := range never {
 			m := submission("wk-000001")
--- a/internal/hearing/detector.go
+++ b/internal/hearing/detector.go
@@ -22,8 +22,8 @@
 	Replace time.Duration // a doubtful machine on which nothing is known to run is deaf after this
 }
 
-// Detector is a failure detector: what a leader knows of whether a machine hears it. Evidence goes in, in any order; a proof
-// ends every doubt.
+// Detector is a failure detector: what a leader knows of whether a machine hears it. Evidence goes in, in
+// any order; a proof ends every doubt.
 type Detector struct {
 	State State
 	Since time.Time
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -203,7 +203,7 @@
 	Copies      Copies         // of launches that were sent straight to it
 	Errors      map[string]int // errors by job
 	FailedAt    time.Time      // when a task failed there last
-	Suspect     time.Time      // since when it is left alone, as several jobs fail on it of which nothing is known yet; zero: it is not
+	Suspect     time.Time      // since when it is left alone: jobs fail on it, nobody knows why; zero: it is not
 	Direct      bool           // a direct command is in flight
 	Asked       time.Time      // when a new leader last asked it whether it is there
 	Unanswering bool           // it did not answer that
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -126,7 +126,8 @@
 // NewJob makes the leader's view of an accepted job.
 func NewJob(s *Spec, at time.Time, version uint64) *Job {
 	j := &Job{Spec: s, At: at, Since: at, Rank: s.Rank, Version: version, WaitSince: at, tasks: make([]TaskState, s.Tasks),
-		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[Chunk]bool{}, Recorded: map[Chunk]bool{}, again: map[int]bool{}, ErrorOn: map[string]int{},
+		Live: map[int]*Attempt{}, Bits: make([]byte, (s.Tasks+7)/8), Dirty: map[Chunk]bool{}, Recorded: map[Chunk]bool{},
+		again: map[int]bool{}, ErrorOn: map[string]int{},
 		FailedOn: map[string]bool{}}
 	j.counts[TaskNew] = s.Tasks
 	for i := s.Tasks - 1; i >= 0; i-- {
--- a/internal/rehearse/troubles/play.go
+++ b/internal/rehearse/troubles/play.go
@@ -34,9 +34,9 @@
 	DeafOnes  int      `json:"deaf_noticed"`                // machines
 	Missed    int      `json:"deaf_not_noticed"`            // of those that were deaf for a lease and longer
 	Killed    int      `json:"killed_tasks"`                // by their workers' leases
-	Least     float64  `json:"least_served"`                // the least part of a class, a team or a class's largest jobs that began
-	Begin     float64  `json:"largest_begin_s"`             // the latest beginning of one of the largest quarter of a class
-	Gone      float64  `json:"cancelled_gone_s"`            // the longest from the word that a job is cancelled to the end of its last task
+	Least     float64  `json:"least_served"`                // the least part of a class, team or largest jobs that began
+	Begin     float64  `json:"largest_begin_s"`             // the latest beginning of a job of a class's largest quarter
+	Gone      float64  `json:"cancelled_gone_s"`            // the longest from that word to the end of the last task
 	Waits     float64  `json:"longest_waiting_with_room_s"` // of a job for which a machine had room, after all troubles
 	Older     int      `json:"older_answers"`               // answers of a member that say less than one before did
 	Asked     int      `json:"questions_answered"`
@@ -368,7 +368,8 @@
 		}
 	}
 	r.res.Broken, r.res.What = r.res.Broken+len(r.w.Broken), append(r.res.What, r.w.Broken...)
-	r.res.Killed, r.res.Gone, r.res.Waits, r.res.Asked = r.w.Killed, r.w.Gone.Seconds(), r.w.LongestWait.Seconds(), r.w.Asked
+	r.res.Killed, r.res.Gone = r.w.Killed, r.w.Gone.Seconds()
+	r.res.Waits, r.res.Asked = r.w.LongestWait.Seconds(), r.w.Asked
 	for _, b := range r.w.Broken {
 		if strings.HasPrefix(b, "went_back") || strings.HasPrefix(b, "forgotten") {
 			r.res.Older++
