--- a/internal/fake/limits_test.go
+++ b/internal/fake/limits_test.go
@@ -107,12 +107,7 @@
 					for _, k := range far {
 						way.set(k, false)
 					}
-					held := w.Held
-					w.Held = nil
-					for _, f := range held {
-						f()
-						w.Check()
-					}
+					w.Release()
 					w.Pass(w.CancelIn + 5*second - long%w.CancelIn)
 					w.State.SetDown(false)
 					for _, c := range w.Controllers {
@@ -176,11 +171,7 @@
 			}
 			w.Pass(long)
 			k.Hung = false
-			held := w.Held
-			w.Held = nil
-			for _, f := range held {
-				f()
-			}
+			w.Release()
 			w.Pass(w.CancelIn)
 			if on(w, s) > 0 {
 				t.Errorf("%s, for %v: it runs", at, long)
--- a/internal/fake/meetings_test.go
+++ b/internal/fake/meetings_test.go
@@ -109,12 +109,7 @@
 		for _, k := range w.Workers {
 			k.Hung = false
 		}
-		held := w.Held
-		w.Held = nil
-		for _, f := range held {
-			f()
-			w.Check()
-		}
+		w.Release()
 		until(t, w, 4*w.Lease, "the others run", func() bool { return on(w, more) == 6 })
 		w.Pass(w.CancelIn)
 	}
--- a/internal/fake/mute_test.go
+++ b/internal/fake/mute_test.go
@@ -100,12 +100,7 @@
 					for _, k := range far {
 						way.set(k, false)
 					}
-					held := w.Held
-					w.Held = nil
-					for _, f := range held {
-						f()
-						w.Check()
-					}
+					w.Release()
 					w.Calm()
 					more := job(model.Array, 16, nil)
 					submit(t, w, more)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -353,6 +353,16 @@
 	}
 }
 
+// Release has the commands arrive that the network has held.
+func (w *World) Release() {
+	held := w.Held
+	w.Held = nil
+	for _, f := range held {
+		f()
+		w.Check()
+	}
+}
+
 // Names lists the machines that are up, in order.
 func (w *World) Names() []string {
 	var names []string
--- a/internal/rehearse/troubles/meet.go
+++ b/internal/rehearse/troubles/meet.go
@@ -226,7 +226,7 @@
 				for _, k := range hung {
 					k.Hung = false
 				}
-				r.release()
+				w.Release()
 			}
 		},
 		"cancelled at the end": func() func() {
@@ -262,7 +262,7 @@
 		"out of reach": func() func() { return on(3, func(k *fake.Worker, on bool) { k.Cut = on }) },
 		"hung": func() func() {
 			end := on(3, func(k *fake.Worker, on bool) { k.Hung = on })
-			return func() { end(); r.release() }
+			return func() { end(); w.Release() }
 		},
 		"machines back at once": func() func() {
 			for _, k := range r.machines(4) {
@@ -299,7 +299,7 @@
 		},
 		"held commands": func() func() {
 			w.Way = func() fake.Fate { return []fake.Fate{fake.Answered, fake.Held, fake.Unanswered, fake.Lost}[r.IntN(4)] }
-			return func() { w.Way = nil; r.release() }
+			return func() { w.Way = nil; w.Release() }
 		},
 		"repeated commands": func() func() {
 			for range 20 {
@@ -366,16 +366,6 @@
 	}
 }
 
-// release has the commands arrive that the network has held.
-func (r *run) release() {
-	held := r.w.Held
-	r.w.Held = nil
-	for _, f := range held {
-		f()
-	}
-	r.w.Check()
-}
-
 // meeting plans two or three troubles within seconds, and cancellations among them.
 func (r *run) meeting(at time.Duration) {
 	all := r.troubles()
@@ -410,6 +400,6 @@
 	for _, k := range w.Workers {
 		k.Deaf, k.Mute, k.Cut, k.Hung = false, false, false, false
 	}
-	r.release()
+	w.Release()
 	w.Calm()
 }
