--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -472,6 +472,14 @@
 			plan.Lacking = append(plan.Lacking, Shortage{w, w.Count, limited, WhyLimit})
 			continue
 		}
+		// makeRoom stops others for tasks of it. What it will start with is spoken for under its team's limit too.
+		// Guards against lower work of the team that takes that meanwhile, so that the want stops some of it in
+		// the next pass, finds the machine's room taken in the one after, and so on: 130 tasks lost for two replicas.
+		makeRoom := func(lack int, st stage) int {
+			found := p.preempt(plan, w, lack, &stops, st)
+			p.Used[spec.Team] = p.Used[spec.Team].Add(spec.Need.Times(found))
+			return found
+		}
 		later := 0
 		if s.StartMost > 0 && spec.Shape == model.Array {
 			later = max(n-(s.StartMost-len(plan.Place)), 0)
@@ -486,18 +494,18 @@
 				// A service stays for long: first the cheap kinds of machine.
 				dear := p.dearer(spec, w.Rules, s.Dear)
 				lack -= p.place(s, plan, w, lack, stage{image: true, rate: dear})
-				lack -= p.preempt(plan, w, lack, &stops, stage{image: true, rate: dear})
+				lack -= makeRoom(lack, stage{image: true, rate: dear})
 			}
 			lack -= p.place(s, plan, w, lack, stage{image: true})
-			lack -= p.preempt(plan, w, lack, &stops, stage{image: true})
+			lack -= makeRoom(lack, stage{image: true})
 			if fetch := w.fetch(); s.FetchInTime && fetch > 0 {
 				lack -= p.place(s, plan, w, lack, stage{fetch: fetch})
-				lack -= p.preempt(plan, w, lack, &stops, stage{fetch: fetch})
+				lack -= makeRoom(lack, stage{fetch: fetch})
 			}
 		}
 		lack -= p.place(s, plan, w, lack, stage{})
 		if lack > 0 && (w.tier() == 0 || s.PreemptWithin && w.tier() == 1) {
-			p.preempt(plan, w, lack, &stops, stage{})
+			makeRoom(lack, stage{})
 		}
 		if lack > 0 && w.Begins && holds < mostHolds && p.hold(w, lack) {
 			holds++
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -424,8 +424,34 @@
 	}
 }
 
-// Guards against two kinds of work that stop each other in turns: rank would stop
-// the one, slack would start it again at once.
+// Guards against two kinds of work that stop each other in turns: rank would stop the one, slack would start
+// it again at once. A replica may be in zone b alone, where another team's work makes way for it. Until that
+// is gone, what its team's limit leaves is the replica's: lower work of the team does not take it on a
+// machine in zone a.
+func TestTheLimitIsKeptForWhatOthersMakeWayFor(t *testing.T) {
+	a, b := node("a-1", "a", cheap, 4), node("b-1", "b", cheap, 8)
+	running(b, "blue", model.Normal, nil)
+	running(b, "blue", model.Normal, nil)
+	replica := want("wk-replica", 1, func(s *model.Spec) {
+		s.Shape, s.Rank, s.Zone = model.Service, model.Production, "b"
+	})
+	lower := want("wk-lower", 2, nil)
+	p := picture([]*Node{a, b}, replica, lower)
+	p.Used["red"] = model.Resources{CPU: 96, MemGB: 96} // of 100
+	plan := Make(set, p)
+	if len(plan.Stop) != 1 || len(plan.Place) != 0 {
+		t.Errorf("%d are stopped, placed: %s", len(plan.Stop), placed(plan))
+	}
+	// With the room there it starts, and nothing else is stopped for it.
+	b = node("b-1", "b", cheap, 4)
+	running(b, "blue", model.Normal, nil)
+	p = picture([]*Node{node("a-1", "a", cheap, 4), b}, replica, lower)
+	p.Used["red"] = model.Resources{CPU: 96, MemGB: 96}
+	if plan := Make(set, p); len(plan.Stop) != 0 || placed(plan) != "wk-replica@b-1 " {
+		t.Errorf("%d are stopped, placed: %s", len(plan.Stop), placed(plan))
+	}
+}
+
 func TestWorkThatGoesFirstIsNotStopped(t *testing.T) {
 	for _, c := range []struct {
 		slack time.Duration
