--- a/internal/rehearse/troubles/meet.go
+++ b/internal/rehearse/troubles/meet.go
@@ -110,6 +110,9 @@
 // some machines, up to a part of them.
 func (r *run) machines(part int) []*fake.Worker {
 	names := r.w.Names()
+	if len(names) == 0 {
+		return nil // all were given back
+	}
 	var out []*fake.Worker
 	for range 1 + r.IntN(len(names)/part+1) {
 		if k := r.w.Workers[names[r.IntN(len(names))]]; k != nil {
