--- a/internal/control/blame_test.go
+++ b/internal/control/blame_test.go
@@ -54,7 +54,8 @@
 			name, key := k.on(id)
 			o := k.c.machines[name]
 			r := says(name, o.Session, o.Seq+1, 1)
-			r.Tasks = append(r.Tasks, model.TaskReport{Task: key.Task, Try: key.Try, Phase: model.Exited, Cause: model.CauseDone})
+			r.Tasks = append(r.Tasks, model.TaskReport{Task: key.Task, Try: key.Try, Phase: model.Exited,
+				Cause: model.CauseDone})
 			k.report(time.Second, r)
 		}
 		k.step(300*time.Millisecond, Tick{})
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -48,7 +48,7 @@
 	Tick  time.Duration                                         // at which time passes
 	Runs  func(id model.TaskID) time.Duration                   // how long a task runs; nil: Run
 	Boots func() time.Duration                                  // how long a machine takes to come up; nil: Boot
-	Slow  func() time.Duration                                  // that the state service takes to answer a leader; nil: none
+	Slow  func() time.Duration                                  // until the state service answers a leader; nil: none
 	Net   func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction; !ok: nothing
 	Ear   Ear                                                   // nil: nobody listens
 
@@ -226,7 +226,8 @@
 		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, ToldBy: map[string]string{}, Teams: map[string]model.Team{},
 		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
 		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
-		seen: map[string]bool{}, told: map[string]*history{}, Allowed: map[string]func(k *Worker) bool{}, Awaits: map[string][]string{},
+		seen: map[string]bool{}, told: map[string]*history{}, Allowed: map[string]func(k *Worker) bool{},
+		Awaits: map[string][]string{},
 		Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
 	w.State = NewState(func() time.Time { return w.now })
 	w.State.Carried = w.look
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -281,9 +281,11 @@
 	r := &records{known: map[string]store.JobView{}}
 	b := &backend{types: eight}
 	do := serve(t, r, b)
-	odd := map[string][]any{"ref": {nil, 7, "", "x", []any{"wk-000001"}}, "jobclass": {nil, 1, ""}, "owner": {nil, 1, true, ""},
+	odd := map[string][]any{"ref": {nil, 7, "", "x", []any{"wk-000001"}}, "jobclass": {nil, 1, ""},
+		"owner": {nil, 1, true, ""},
 		"shape": {nil, 1, "", "arrays"},
-		"rank":  {nil, 2, "", "boss"}, "rows": {nil, "4", 4.0, 0, -1, 100_001}, "cores": {nil, "8", -1, math.NaN(), math.Inf(1), 1e9},
+		"rank":  {nil, 2, "", "boss"}, "rows": {nil, "4", 4.0, 0, -1, 100_001},
+		"cores":    {nil, "8", -1, math.NaN(), math.Inf(1), 1e9},
 		"cards":    {nil, "0", -1.0},
 		"memoryGb": {nil, false, -0.5}, "oneZone": {nil, 0, "false"}, "scatter": {nil, 1, "no"}, "loaners": {nil, 1},
 		"seed":    {nil, 5},
@@ -336,7 +338,8 @@
 		t.Fatalf("something of it was kept: %v", r.known)
 	}
 	for what, fields := range map[string]job{
-		"one task spread in a zone": {"shape": "ensemble", "rows": 1, "scatter": true, "field": "a"}, "an array spread over one zone": {"scatter": true}} {
+		"one task spread in a zone":     {"shape": "ensemble", "rows": 1, "scatter": true, "field": "a"},
+		"an array spread over one zone": {"scatter": true}} {
 		m := submission("wk-000003")
 		maps.Copy(m, fields)
 		if code, _, _ := do("POST", "/api/jobs", m); code != 201 && code != 200 {
--- a/internal/node/redirect_test.go
+++ b/internal/node/redirect_test.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// A worker follows what members answer it, as the protocol says: sent to a leader it goes there, otherwise it tries the next member
-// a second later; where nobody answers it waits for 4 s first. One member is cut off from the state service and the others and
-// keeps naming whom it last knew, until that is too long ago (Node.redirect). With any number of members every worker finds
-// whoever leads, wherever it stands.
+// A worker follows what members answer it, as the protocol says: sent to a leader it goes there, otherwise
+// it tries the next member a second later; where nobody answers it waits for 4 s first. One member is cut
+// off from the state service and the others and keeps naming whom it last knew, until that is too long ago
+// (Node.redirect). With any number of members every worker finds whoever leads, wherever it stands.
 func TestAWorkerFindsTheLeaderFromEveryMember(t *testing.T) {
 	const elected = 6 * time.Second // after the former leader has ended
 	for members := 3; members <= 5; members++ {
