--- a/internal/fake/history.go
+++ b/internal/fake/history.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/glentiller/glentiller/internal/model"
-	"github.com/glentiller/glentiller/internal/store"
 	"github.com/glentiller/glentiller/internal/wire"
 )
 
@@ -14,11 +12,9 @@
 // within a moment, so an answer is older than another one if it comes after it and says less: an accepted
 // job stays known, and an end stays as it is.
 type history struct {
-	at      time.Time // of the first answer that the job is known
-	by      string    // who gave the last answer that counts
+	by      string // who gave the last answer that counts
 	final   wire.JobState
-	ended   time.Time // when the end was told first
-	askedTo bool      // its user, or that of a job that it awaits, has asked to cancel it
+	askedTo bool // its user has asked to cancel it
 }
 
 // tell holds what a member has told a user of a job against all that was told before.
@@ -28,7 +24,7 @@
 		if s == wire.StateUnknown {
 			return
 		}
-		h = &history{at: w.now}
+		h = &history{}
 		w.told[id] = h
 	}
 	spec := w.Specs[id]
@@ -47,7 +43,7 @@
 	}
 	h.by = c.Member
 	if s.Ended() {
-		h.final, h.ended = s, w.now
+		h.final = s
 	}
 }
 
@@ -72,20 +68,13 @@
 	return false
 }
 
-// Told is when a job's end was told to a user first; zero: it was not.
-func (w *World) Told(id string) time.Time {
-	if h := w.told[id]; h != nil {
-		return h.ended
-	}
-	return time.Time{}
-}
-
 // Ask has a user ask a controller about a job.
 func (w *World) Ask(c *Controller, id string) (wire.JobState, error) {
-	v, err := store.JobView{}, error(nil)
-	if v = c.Jobs.Peek(id); !w.Unread || v.State == wire.StateUnknown {
-		v, err = c.Jobs.Lookup(context.Background(), id)
+	if v := c.Jobs.Peek(id); w.Unread && v.State != wire.StateUnknown {
+		w.tell(c, id, v.State)
+		return v.State, nil
 	}
+	v, err := c.Jobs.Lookup(context.Background(), id)
 	if err == nil {
 		w.Asked++
 		w.tell(c, id, v.State)
--- a/internal/fake/waits.go
+++ b/internal/fake/waits.go
@@ -13,9 +13,6 @@
 // Calm notes that all troubles are over: from here on no job waits for long while there is room for it.
 func (w *World) Calm() { w.calm, w.waiting = w.now, map[string]time.Time{} }
 
-// Stormy notes that there are troubles again.
-func (w *World) Stormy() { w.calm = time.Time{} }
-
 // checkWaits looks once a second for jobs that wait although there is room for them.
 func (w *World) checkWaits() {
 	if w.calm.IsZero() || w.now.Sub(w.waitsAt) < time.Second {
