fake: workers, the cloud and the checks of rules apart from the world

Need: stand-ins whose messages somebody else carries, thousands of them. World keeps its look at everything. A task's phase changes in one place.

--- a/internal/fake/answers_test.go
+++ b/internal/fake/answers_test.go
@@ -179,13 +179,13 @@
 // What the history has to find: each answer alone.
 func TestTheHistoryFindsAnswersThatGoBack(t *testing.T) {
 	for what, says := range map[string]func(w *World, c *Controller, id string){
-		"forgotten": func(w *World, c *Controller, id string) { w.tell(c, id, wire.StateUnknown) },
-		"not_done":  func(w *World, c *Controller, id string) { w.tell(c, id, wire.StateDone) },
-		"went_back": func(w *World, c *Controller, id string) { w.tell(c, id, wire.StateCancelled) },
+		"forgotten": func(w *World, c *Controller, id string) { w.tell(c.Member, id, wire.StateUnknown) },
+		"not_done":  func(w *World, c *Controller, id string) { w.tell(c.Member, id, wire.StateDone) },
+		"went_back": func(w *World, c *Controller, id string) { w.tell(c.Member, id, wire.StateCancelled) },
 		"went_back after its end": func(w *World, c *Controller, id string) {
 			w.Done[model.TaskID{Job: id}] = true
-			w.tell(c, id, wire.StateDone)
-			w.tell(c, id, wire.StateQueued)
+			w.tell(c.Member, id, wire.StateDone)
+			w.tell(c.Member, id, wire.StateQueued)
 		},
 	} {
 		w := worldOf(3, 1, 1)
--- a/internal/fake/copies_test.go
+++ b/internal/fake/copies_test.go
@@ -134,7 +134,7 @@
 			},
 			"a machine is back at once": func(r *rapid.T) {
 				k := worker(r)
-				if k.w == nil {
+				if k.site == nil {
 					return
 				}
 				w.Blink(k)
--- /dev/null
+++ b/internal/fake/fleet_rules_test.go
@@ -0,0 +1,91 @@
+package fake
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// What a fleet has to find as it happens: each fault alone.
+func TestAFleetFindsBrokenRules(t *testing.T) {
+	now := time.Unix(1000, 0)
+	launch := func(k *Worker, job string, index int) {
+		k.Execute([]model.Order{{Op: model.OpLaunch, Task: model.TaskID{Job: job, Index: index}, Try: uint64(index + 1)}})
+	}
+	for rule, play := range map[string]func(f *Fleet, a, b *Worker){
+		"ran_twice": func(_ *Fleet, a, b *Worker) { launch(a, "wk-000001", 0); launch(b, "wk-000001", 0) },
+		"quota": func(_ *Fleet, a, _ *Worker) {
+			launch(a, "wk-000001", 0)
+			launch(a, "wk-000001", 1)
+			launch(a, "wk-000001", 2)
+		},
+		"wrong_place": func(f *Fleet, a, _ *Worker) { f.Specs["wk-000001"].Zone = "b"; launch(a, "wk-000001", 0) },
+		"ran_cancelled": func(f *Fleet, a, _ *Worker) {
+			f.ToldCancelled("wk-000001")
+			f.SetNow(now.Add(time.Hour))
+			launch(a, "wk-000001", 0)
+		},
+		"went_back": func(f *Fleet, _, _ *Worker) {
+			f.Told("x", "wk-000001", wire.StateQueued)
+			f.AskedToCancel("wk-000001")
+			f.Told("x", "wk-000001", wire.StateCancelled)
+			f.Told("y", "wk-000001", wire.StateRunning)
+		},
+		"": func(_ *Fleet, a, b *Worker) { launch(a, "wk-000001", 0); launch(b, "wk-000001", 1) },
+	} {
+		f := NewFleet(now, []model.Team{{Name: "red", Limit: model.LimitOf(8, 0)}})
+		f.Lease = 2 * time.Hour
+		f.Specs["wk-000001"] = &model.Spec{ID: "wk-000001", Team: "red", Shape: model.Array, Tasks: 9, Need: model.Resources{CPU: 4}}
+		a := f.Add(model.Listed{Machine: "n-1", Zone: "a"})
+		b := f.Add(model.Listed{Machine: "n-2", Zone: "a"})
+		play(f, a, b)
+		for range 2 { // the image comes, and what was launched is on its machine
+			f.SetNow(f.Now().Add(2 * time.Second))
+			a.Advance()
+			b.Advance()
+		}
+		f.CheckCancelled()
+		if found := strings.Join(f.Broken, "; "); rule == "" && found != "" || !strings.Contains(found, rule) {
+			t.Errorf("%q: found %q", rule, found)
+		}
+	}
+}
+
+// A gang runs once all its tasks are there, and ends where one of them goes.
+func TestAFleetsGangsRunTogether(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet(now, []model.Team{{Name: "red"}})
+	f.Lease, f.GangWait, f.Run = time.Hour, time.Hour, time.Hour
+	f.Specs["wk-000001"] = &model.Spec{ID: "wk-000001", Team: "red", Shape: model.Gang, Tasks: 2, Need: model.Resources{CPU: 4}}
+	var machines [2]*Worker
+	phase := func(i int) model.Phase {
+		f.SetNow(f.Now().Add(2 * time.Second))
+		for _, k := range machines {
+			if k != nil {
+				k.Advance()
+			}
+		}
+		for _, task := range machines[i].Tasks {
+			return task.Phase
+		}
+		return 0
+	}
+	for i := range machines {
+		machines[i] = f.Add(model.Listed{Machine: string(rune('a' + i)), Zone: "a"})
+		machines[i].Execute([]model.Order{{Op: model.OpLaunch, Task: model.TaskID{Job: "wk-000001", Index: i}, Try: 7}})
+		if phase(i); i == 0 && phase(0) != model.Waiting {
+			t.Error("the first task does not wait for the second")
+		}
+	}
+	if phase(0); phase(0) != model.Running {
+		t.Error("a whole gang does not run")
+	}
+	f.Remove(machines[1].Name)
+	machines[0].Tasks[model.AttemptKey{Task: model.TaskID{Job: "wk-000001"}, Try: 7}].until = f.Now()
+	if phase(0); phase(0) != model.Exited {
+		t.Error("a gang that has lost a task goes on")
+	}
+}
--- a/internal/fake/history.go
+++ b/internal/fake/history.go
@@ -18,7 +18,7 @@
 }
 
 // tell holds what a member has told a user of a job against all that was told before.
-func (w *World) tell(c *Controller, id string, s wire.JobState) {
+func (w *Site) tell(by, id string, s wire.JobState) {
 	h := w.told[id]
 	if h == nil {
 		if s == wire.StateUnknown {
@@ -30,24 +30,24 @@
 	spec := w.Specs[id]
 	switch {
 	case s == wire.StateUnknown:
-		w.broken("forgotten: %s says that %s is not known, %s knew it", c.Member, id, h.by)
+		w.broken("forgotten: %s says that %s is not known, %s knew it", by, id, h.by)
 	case h.final != wire.StateUnknown && s != h.final:
-		w.broken("went_back: %s says that %s is %v, %s said %v", c.Member, id, s, h.by, h.final)
+		w.broken("went_back: %s says that %s is %v, %s said %v", by, id, s, h.by, h.final)
 	case s == wire.StateCancelled && !w.askedToCancel(id):
-		w.broken("went_back: %s says that %s is cancelled, which nobody has asked for", c.Member, id)
+		w.broken("went_back: %s says that %s is cancelled, which nobody has asked for", by, id)
 	case s == wire.StateDone && !w.AllDone(id) && (spec.Shape != model.Gang || !w.anyDone(id)):
-		w.broken("not_done: %s says that %s is done", c.Member, id)
+		w.broken("not_done: %s says that %s is done", by, id)
 	}
 	if s == wire.StateUnknown || h.final != wire.StateUnknown {
 		return
 	}
-	h.by = c.Member
+	h.by = by
 	if s.Ended() {
 		h.final = s
 	}
 }
 
-func (w *World) askedToCancel(id string) bool {
+func (w *Site) askedToCancel(id string) bool {
 	if h := w.told[id]; h != nil && h.askedTo {
 		return true
 	}
@@ -59,7 +59,7 @@
 	return false
 }
 
-func (w *World) anyDone(id string) bool {
+func (w *Site) anyDone(id string) bool {
 	for i := range w.Specs[id].Tasks {
 		if w.Done[model.TaskID{Job: id, Index: i}] {
 			return true
@@ -71,13 +71,13 @@
 // Ask has a user ask a controller about a job.
 func (w *World) Ask(c *Controller, id string) (wire.JobState, error) {
 	if v := c.Jobs.Peek(id); w.Unread && v.State != wire.StateUnknown {
-		w.tell(c, id, v.State)
+		w.tell(c.Member, id, v.State)
 		return v.State, nil
 	}
 	v, err := c.Jobs.Lookup(context.Background(), id)
 	if err == nil {
 		w.Asked++
-		w.tell(c, id, v.State)
+		w.tell(c.Member, id, v.State)
 	}
 	return v.State, err
 }
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -127,6 +127,23 @@
 	return true
 }
 
+// Expire ends the leases whose time is over, and removes their keys.
+func (s *State) Expire() { s.expire() }
+
+// Changed tells whether a key with a prefix has changed after a revision, or whether that is not known any more.
+func (s *State) Changed(prefix string, after uint64) bool {
+	if after < s.oldest {
+		return true
+	}
+	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].version > after })
+	for _, e := range s.log[first:] {
+		if strings.HasPrefix(e.key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // SetDown starts or ends an outage. After one, every lease has its full time.
 func (s *State) SetDown(down bool) {
 	s.expire()
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -24,8 +25,9 @@
 
 // Worker is a stand-in for a machine's worker, as the protocol describes it.
 type Worker struct {
-	w       *World
+	site    *Site
 	Name    string
+	Addr    string // "": its name
 	Type    string
 	Zone    string
 	Spot    bool
@@ -51,7 +53,7 @@
 
 func (k *Worker) report() *model.Report {
 	k.Seq++
-	r := &model.Report{Machine: k.Name, Addr: k.Name, Type: k.Type, Zone: k.Zone, Spot: k.Spot, Session: k.Session, Seq: k.Seq, Token: k.Token,
+	r := &model.Report{Machine: k.Name, Addr: cmp.Or(k.Addr, k.Name), Type: k.Type, Zone: k.Zone, Spot: k.Spot, Session: k.Session, Seq: k.Seq, Token: k.Token,
 		Notice: k.Notice > 0, NoticeIn: k.Notice}
 	for key, t := range k.Tasks {
 		r.Tasks = append(r.Tasks, model.TaskReport{Task: key.Task, Try: key.Try, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved})
@@ -59,10 +61,43 @@
 	return r
 }
 
+// Report is the worker's report of now. It counts as sent: the next one without news is due after the usual time.
+func (k *Worker) Report() *model.Report {
+	now := k.site.now
+	k.lastRep, k.nextRep, k.changed, k.waits = now, now.Add(k.site.interval()), false, false
+	return k.report()
+}
+
+// Take takes the answer to a report of a session that was sent at some time.
+func (k *Worker) Take(session uint64, sent time.Time, token uint64, orders []model.Order) {
+	if session != k.Session || !k.accept(token) {
+		return // dropped: it renews nothing
+	}
+	k.renewed = sent
+	k.Execute(orders)
+}
+
+// Command takes commands that come straight to the worker. It is false where they are refused, by their token
+// or their session.
+func (k *Worker) Command(token, session uint64, orders []model.Order) bool {
+	if token < k.Token && !k.site.AnyToken || session != k.Session {
+		return false
+	}
+	k.accept(token)
+	k.Execute(orders)
+	return true
+}
+
+// Retry has the worker report again after a time, to another controller.
+func (k *Worker) Retry(after time.Duration) { k.nextRep = k.site.now.Add(after) }
+
+// Inspect is the worker's report of now, as an answer to a question: the next one is due as before.
+func (k *Worker) Inspect() *model.Report { return k.report() }
+
 // accept takes a token; a lower one is refused.
 func (k *Worker) accept(token uint64) bool {
 	if token < k.Token {
-		return k.w.AnyToken
+		return k.site.AnyToken
 	}
 	if token > k.Token {
 		k.Token, k.changed = token, true
@@ -72,7 +107,7 @@
 
 // Execute carries out commands.
 func (k *Worker) Execute(orders []model.Order) {
-	now := k.w.now
+	now := k.site.now
 	for _, o := range orders {
 		key := model.AttemptKey{Task: o.Task, Try: o.Try}
 		t := k.Tasks[key]
@@ -83,19 +118,22 @@
 			}
 			k.changed = true
 			k.Tasks[key] = k.launch(key, now)
+			k.site.known(k, k.Tasks[key], true)
 		case model.OpStop:
 			if t == nil || t.Phase == model.Exited {
 				continue
 			}
 			k.changed = true
 			if t.Phase == model.Running && t.Spec.Checkpoint > 0 && o.Grace >= t.Spec.Save {
-				t.Phase, t.until = model.Saving, now.Add(t.Spec.Save)
+				k.enter(t, model.Saving)
+				t.until = now.Add(t.Spec.Save)
 			} else if t.Phase != model.Saving || o.Grace == 0 {
-				t.Phase, t.Cause = model.Exited, model.CauseStopped
+				k.exit(t, model.CauseStopped)
 			}
 		case model.OpForget:
 			if t != nil && t.Phase == model.Exited {
 				delete(k.Tasks, key)
+				k.site.known(k, t, false)
 			}
 		}
 	}
@@ -113,128 +151,171 @@
 }
 
 func (k *Worker) launch(key model.AttemptKey, now time.Time) *Task {
-	k.w.Starts[key.Task]++
-	if at, ok := k.w.Cancelled[key.Task.Job]; ok && now.Sub(at) > k.w.CancelIn {
-		k.w.broken("ran_cancelled: %v started on %s", key.Task, k.Name)
+	k.site.Starts[key.Task]++
+	if at, ok := k.site.Cancelled[key.Task.Job]; ok && now.Sub(at) > k.site.CancelIn {
+		k.site.broken("ran_cancelled: %v started on %s", key.Task, k.Name)
 	}
 	defer func() {
-		if ok := k.w.Allowed[key.Task.Job]; ok != nil && !ok(k) {
-			k.w.broken("rules: %v started on %s", key.Task, k.Name)
+		if ok := k.site.Allowed[key.Task.Job]; ok != nil && !ok(k) {
+			k.site.broken("rules: %v started on %s", key.Task, k.Name)
 		}
 	}()
-	t := &Task{ID: key.Task, Try: key.Try, Spec: k.w.Specs[key.Task.Job], Phase: model.Fetching, until: now.Add(k.w.Fetch + k.Slow)}
+	t := &Task{ID: key.Task, Try: key.Try, Spec: k.site.Specs[key.Task.Job], Phase: model.Fetching, until: now.Add(k.site.Fetch + k.Slow)}
 	if t.Spec == nil {
-		t.Phase, t.Cause = model.Exited, model.CauseUnknown
+		k.exit(t, model.CauseUnknown)
 		return t
 	}
 	for _, o := range k.Tasks {
 		if o.ID == t.ID && o.Phase != model.Exited {
-			t.Phase, t.Cause = model.Exited, model.CauseBusy
+			k.exit(t, model.CauseBusy)
 			return t
 		}
 	}
 	return t
 }
 
-// step lets time pass on the machine.
-func (k *Worker) step() {
-	now := k.w.now
-	if now.Sub(k.renewed) > k.w.Lease {
-		k.Session++
-		for _, t := range k.Tasks {
-			if t.On() {
-				k.w.Killed++
-			}
+// enter changes a task's phase; it is the only place that does.
+func (k *Worker) enter(t *Task, p model.Phase) {
+	before := t.On()
+	t.Phase, t.since = p, k.site.now
+	if on := t.On(); on != before && k.site.Moved != nil {
+		k.site.Moved(k, t, on)
+	}
+}
+
+// exit ends a task.
+func (k *Worker) exit(t *Task, why model.Cause) {
+	t.Cause = why
+	k.enter(t, model.Exited)
+}
+
+// Clear ends and forgets all tasks, and tells how many were on the machine.
+func (k *Worker) Clear() int {
+	n := 0
+	for _, t := range k.Tasks {
+		if t.On() {
+			n++
+		}
+		if t.Phase != model.Exited {
+			k.exit(t, model.CauseStopped)
 		}
-		k.Tasks = map[model.AttemptKey]*Task{}
+		k.site.known(k, t, false)
+	}
+	k.Tasks = map[model.AttemptKey]*Task{}
+	return n
+}
+
+// Advance lets time pass on the machine, up to the site's time. It tells whether a report is due.
+func (k *Worker) Advance() bool {
+	now := k.site.now
+	if now.Sub(k.renewed) > k.site.Lease {
+		k.Session++
+		k.site.Lapsed++
+		k.site.Killed += k.Clear()
 		k.renewed, k.changed = now, true
 	}
 	if k.Hung {
 		for _, t := range k.Tasks {
-			t.until = t.until.Add(k.w.Tick)
+			t.until = t.until.Add(k.site.Tick)
 		}
-		return
+		return false
 	}
 	for _, t := range k.Tasks {
-		if t.Phase == model.Exited || now.Before(t.until) && t.Phase != model.Waiting {
-			continue
+		if t.Phase != model.Exited && (t.Phase == model.Waiting || !now.Before(t.until)) {
+			k.proceed(t)
 		}
-		switch t.Phase {
-		case model.Fetching:
+	}
+	news := k.changed && !k.waits && now.Sub(k.lastRep) >= leastBetween
+	return !now.Before(k.nextRep) || news
+}
+
+// leastBetween is the least time between two reports.
+const leastBetween = 500 * time.Millisecond
+
+// proceed takes a task whose time has come to what follows.
+func (k *Worker) proceed(t *Task) {
+	switch t.Phase {
+	case model.Fetching:
+		k.fetched(t)
+	case model.Waiting:
+		k.gather(t)
+	case model.Running:
+		if t.Spec.Shape == model.Gang && !k.site.gangWhole(t) {
 			k.changed = true
-			switch {
-			case k.Sick || k.w.Bad[t.ID.Job]:
-				t.Phase, t.Cause = model.Exited, model.CauseError
-			case k.w.Done[t.ID]:
-				t.Phase, t.Cause = model.Exited, model.CauseDone
-			default:
-				t.Phase, t.since = model.Waiting, now
-				if t.Spec.Shape != model.Gang {
-					k.run(t)
-				}
-			}
-		case model.Waiting:
-			if k.w.gangComplete(t) {
-				k.changed = true
-				k.run(t)
-			} else if now.Sub(t.since) > k.w.GangWait {
-				k.changed = true
-				t.Phase, t.Cause = model.Exited, model.CauseAlone
-			}
-		case model.Running:
-			if t.Spec.Shape == model.Gang && !k.w.gangWhole(t) {
-				k.changed = true
-				t.Phase, t.Cause = model.Exited, model.CausePeers
-			} else if t.Spec.Shape != model.Service {
-				k.changed = true
-				t.Phase, t.Cause = model.Exited, model.CauseDone
-				k.w.Done[t.ID] = true
-			}
-		case model.Saving:
+			k.exit(t, model.CausePeers)
+		} else if t.Spec.Shape != model.Service {
 			k.changed = true
-			t.Phase, t.Cause, t.Saved = model.Exited, model.CauseStopped, true
-			k.w.Saves[t.ID]++
+			k.exit(t, model.CauseDone)
+			k.site.Done[t.ID] = true
+		}
+	case model.Saving:
+		k.changed = true
+		t.Saved = true
+		k.exit(t, model.CauseStopped)
+		k.site.Saves[t.ID]++
+	}
+}
+
+// fetched takes a task whose image is there.
+func (k *Worker) fetched(t *Task) {
+	k.changed = true
+	switch {
+	case k.Sick || k.site.Bad[t.ID.Job]:
+		k.exit(t, model.CauseError)
+	case k.site.Done[t.ID]:
+		k.exit(t, model.CauseDone)
+	default:
+		k.enter(t, model.Waiting)
+		if t.Spec.Shape != model.Gang {
+			k.run(t)
 		}
 	}
-	news := k.changed && !k.waits && now.Sub(k.lastRep) >= 500*time.Millisecond
-	if !k.Cut && !k.Mute && (!now.Before(k.nextRep) || news) {
-		k.send()
+}
+
+// gather has a gang task run once the others of its attempt are there, or give up.
+func (k *Worker) gather(t *Task) {
+	if k.site.gangComplete(t) {
+		k.changed = true
+		k.run(t)
+	} else if k.site.now.Sub(t.since) > k.site.GangWait {
+		k.changed = true
+		k.exit(t, model.CauseAlone)
 	}
 }
 
 func (k *Worker) run(t *Task) {
-	run := k.w.Run
-	if k.w.Runs != nil {
-		run = k.w.Runs(t.ID)
+	run := k.site.Run
+	if k.site.Runs != nil {
+		run = k.site.Runs(t.ID)
 	}
-	t.Phase, t.until = model.Running, k.w.now.Add(run)
+	k.enter(t, model.Running)
+	t.until = k.site.now.Add(run)
 }
 
-// send reports to a controller and takes its answer.
-func (k *Worker) send() {
-	now := k.w.now
-	k.lastRep, k.nextRep, k.changed, k.waits = now, now.Add(k.w.ReportEvery), false, false
-	c := k.w.Controllers[k.target]
-	r := k.report()
-	if w := k.w; w.Copies > 0 {
+// send has a worker report to a controller of the world and take its answer.
+func (w *World) send(k *Worker) {
+	now := w.now
+	c := w.Controllers[k.target]
+	r := k.Report()
+	if w.Copies > 0 {
 		if len(w.Copied) >= w.Copies {
 			w.Copied = w.Copied[1:]
 		}
 		w.Copied = append(w.Copied, r)
 	}
 	v, ok := c.report(r, false)
-	if l := k.w.Leader(); k.Deaf && !ok && c.Up && l != nil && l != c && !c.Alone && !l.Alone {
+	if l := w.Leader(); k.Deaf && !ok && c.Up && l != nil && l != c && !c.Alone && !l.Alone {
 		l.report(r, true)
 	}
 	switch {
 	case k.Deaf: // it waits for its answer, and then tries the next controller
-		k.target = (k.target + 1) % len(k.w.Controllers)
-		k.nextRep, k.waits = now.Add(5*time.Second), true
-	case ok && k.accept(v.token):
-		k.renewed = now
-		k.Execute(v.orders)
-	case !ok:
-		k.target = (k.target + 1) % len(k.w.Controllers)
-		k.nextRep = now.Add(time.Second)
+		k.target = (k.target + 1) % len(w.Controllers)
+		k.Retry(5 * time.Second)
+		k.waits = true
+	case ok:
+		k.Take(r.Session, now, v.token, v.orders)
+	default:
+		k.target = (k.target + 1) % len(w.Controllers)
+		k.Retry(time.Second)
 	}
 }
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
 	"log/slog"
 	"net/http"
 	"sort"
@@ -25,47 +26,31 @@
 // World is a deployment in memory: controllers, the state service, the cloud and
 // workers, in a time of its own. It checks the rules as time passes.
 type World struct {
-	now         time.Time
+	Site
+	*Cloud
 	State       *State
 	Controllers []*Controller
 	Workers     map[string]*Worker
 	Types       []model.MachineType
-	Specs       map[string]*model.Spec
-	Done        map[model.TaskID]bool
-	Bad         map[string]bool      // jobs whose tasks fail everywhere
-	Cancelled   map[string]time.Time // when users were told of it first
-	ToldBy      map[string]string    // and by which member
+	ToldBy      map[string]string // by which member users were told first that a job is cancelled
 	Teams       map[string]model.Team
-	Awaits      map[string][]string             // what jobs were submitted to wait for
-	Allowed     map[string]func(k *Worker) bool // what jobs' rules say of a machine when a task has started there
-	Limits      store.Limits                    // that the controllers keep within
-	Bound       word.Bound                      // how old a leader's knowledge of cancellations may be
-	Keep        int                             // ended jobs that a controller remembers
-	Rejected    []string                        // records that the state service would not take
-
-	Fetch, Run, Lease, ReportEvery, GangWait, Boot, CancelIn time.Duration
-
-	Tick  time.Duration                                         // at which time passes
-	Runs  func(id model.TaskID) time.Duration                   // how long a task runs; nil: Run
-	Boots func() time.Duration                                  // how long a machine takes to come up; nil: Boot
-	Slow  func() time.Duration                                  // until the state service answers a leader; nil: none
-	Net   func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction; !ok: nothing
-	Ear   Ear                                                   // nil: nobody listens
-
-	Apart    bool // controllers do not reach each other
-	AnyToken bool // workers take orders under any token: a fault of theirs, to show that checks can fail
-
-	Capacity  int           // machines that the cloud has at once; 0: any number
+	Limits      store.Limits // that the controllers keep within
+	Bound       word.Bound   // how old a leader's knowledge of cancellations may be
+	Keep        int          // ended jobs that a controller remembers
+	Rejected    []string     // records that the state service would not take
+
+	Slow func() time.Duration                                  // until the state service answers a leader; nil: none
+	Net  func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction; !ok: nothing
+	Ear  Ear                                                   // nil: nobody listens
+
+	Apart bool // controllers do not reach each other
+
 	CloudMute bool          // the cloud carries requests out, but its answers are lost
 	CloudFull bool          // returns wait in the cloud's queue until this ends
 	Returns   int           // requests to return machines
 	Commands  int           // requests straight to workers
-	Killed    int           // tasks that ended with their worker's lease
 	Gone      time.Duration // the longest from the word that a job is cancelled to the end of its last task
 	queue     []func()
-	rented    map[string][]string
-	booting   map[string]bootingMachine
-	machines  int
 	lives     uint64 // of controllers
 
 	Copied []*model.Report // copies of reports that the network keeps; the oldest go first
@@ -74,11 +59,6 @@
 	Again  []Again         // direct commands that were answered, and may be repeated
 	Hold   bool            // hold direct commands back and give their senders up
 	Way    func() Fate     // what becomes of the next direct command; nil: it is answered
-	Broken []string        // rules that were broken
-	Starts map[model.TaskID]int
-	Saves  map[model.TaskID]int // orderly stops that saved
-	seen   map[string]bool
-	told   map[string]*history // what users were told, by job
 	ledger *control.Ledger
 
 	Looks       bool          // users ask everywhere about a job as a transaction changes its record
@@ -98,11 +78,6 @@
 	Do func()
 }
 
-type bootingMachine struct {
-	model.Listed
-	at time.Time
-}
-
 // Fate is what becomes of a direct command on its way.
 type Fate uint8
 
@@ -222,13 +197,11 @@
 
 // NewWorld makes a deployment with n controllers, which work by the settings.
 func NewWorld(n int, set control.Settings, el election.Settings, limits store.Limits, log *slog.Logger) *World {
-	w := &World{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), Workers: map[string]*Worker{}, Specs: map[string]*model.Spec{},
-		Done: map[model.TaskID]bool{}, Bad: map[string]bool{}, Cancelled: map[string]time.Time{}, ToldBy: map[string]string{}, Teams: map[string]model.Team{},
-		Fetch: time.Second, Run: 10 * time.Second, Lease: set.Lease, ReportEvery: set.Report, GangWait: set.GangWait, Boot: 5 * time.Second,
-		CancelIn: set.Cancel, rented: map[string][]string{}, booting: map[string]bootingMachine{}, Starts: map[model.TaskID]int{}, Saves: map[model.TaskID]int{},
-		seen: map[string]bool{}, told: map[string]*history{}, Allowed: map[string]func(k *Worker) bool{},
-		Awaits: map[string][]string{},
-		Limits: limits, Keep: 1000, Tick: 50 * time.Millisecond, ledger: set.Ledger}
+	w := &World{Workers: map[string]*Worker{}, ToldBy: map[string]string{}, Teams: map[string]model.Team{},
+		Limits: limits, Keep: 1000, ledger: set.Ledger}
+	w.Site = newSite(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), w.gang)
+	w.Lease, w.ReportEvery, w.GangWait, w.CancelIn = set.Lease, set.Report, set.GangWait, set.Cancel
+	w.Cloud = NewCloud(func() int { return len(w.Workers) })
 	w.State = NewState(func() time.Time { return w.now })
 	w.State.Carried = w.look
 	w.Bound, _ = word.Within(set.Cancel, set.Lease)
@@ -311,33 +284,22 @@
 	return l
 }
 
-// Now is the world's time.
-func (w *World) Now() time.Time { return w.now }
-
-func (w *World) broken(format string, args ...any) {
-	if s := fmt.Sprintf(format, args...); !w.seen[s] {
-		w.seen[s] = true
-		w.Broken = append(w.Broken, s)
-	}
-}
-
 // Pass lets time pass.
 func (w *World) Pass(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(w.Tick)
 		w.drain()
-		for name, b := range w.booting {
-			if !w.now.Before(b.at) {
-				delete(w.booting, name)
-				w.AddMachine(b.Listed)
-			}
+		for _, l := range w.Up(w.now) {
+			w.AddMachine(l)
 		}
 		for _, c := range w.Controllers {
 			c.step()
 		}
 		for _, name := range w.Names() {
 			if k := w.Workers[name]; k != nil {
-				k.step()
+				if k.Advance() && !k.Cut && !k.Mute {
+					w.send(k)
+				}
 			}
 		}
 		w.Check()
@@ -398,7 +360,7 @@
 
 // AddMachine brings a machine up.
 func (w *World) AddMachine(l model.Listed) *Worker {
-	k := &Worker{w: w, Name: l.Machine, Type: l.Type, Zone: l.Zone, Spot: l.Spot, Session: 1, Tasks: map[model.AttemptKey]*Task{}, renewed: w.now}
+	k := &Worker{site: &w.Site, Name: l.Machine, Type: l.Type, Zone: l.Zone, Spot: l.Spot, Session: 1, Tasks: map[model.AttemptKey]*Task{}, renewed: w.now}
 	w.Workers[l.Machine] = k
 	return k
 }
@@ -417,7 +379,7 @@
 	}
 	_, v, err := c.Jobs.Accept(ctx, s, doomed, w.now)
 	if err == nil {
-		w.tell(c, s.ID, v.State)
+		w.tell(c.Member, s.ID, v.State)
 	}
 	return err
 }
@@ -432,21 +394,11 @@
 		w.Cancelled[id], w.ToldBy[id] = w.now, c.Member
 	}
 	if err == nil {
-		w.tell(c, id, v.State)
+		w.tell(c.Member, id, v.State)
 	}
 	return v, err
 }
 
-// AllDone tells whether all tasks of a job have completed.
-func (w *World) AllDone(id string) bool {
-	for i := range w.Specs[id].Tasks {
-		if !w.Done[model.TaskID{Job: id, Index: i}] {
-			return false
-		}
-	}
-	return true
-}
-
 // On lists the machines that a task is on.
 func (w *World) On(t model.TaskID) []string {
 	var on []string
@@ -511,30 +463,17 @@
 	}
 }
 
-// gangComplete tells whether all tasks of an attempt have their images.
-func (w *World) gangComplete(t *Task) bool {
-	n := 0
-	for _, k := range w.Workers {
-		for _, o := range k.Tasks {
-			if o.ID.Job == t.ID.Job && o.Try == t.Try && (o.Phase == model.Waiting || o.Phase == model.Running) {
-				n++
-			}
-		}
-	}
-	return n == t.Spec.Tasks
-}
-
-// gangWhole tells whether no task of a running attempt is missing.
-func (w *World) gangWhole(t *Task) bool {
-	n := 0
-	for _, k := range w.Workers {
-		for _, o := range k.Tasks {
-			if o.ID.Job == t.ID.Job && o.Try == t.Try && (o.Phase != model.Exited || o.Cause == model.CauseDone) {
-				n++
+// gang finds the tasks of a gang's attempt on all machines.
+func (w *World) gang(job string, attempt uint64) iter.Seq[*Task] {
+	return func(yield func(*Task) bool) {
+		for _, k := range w.Workers {
+			for _, t := range k.Tasks {
+				if t.ID.Job == job && t.Try == attempt && !yield(t) {
+					return
+				}
 			}
 		}
 	}
-	return n == t.Spec.Tasks
 }
 
 // --- controllers
@@ -807,11 +746,9 @@
 			if k == nil || w.Workers[e.Machine] != k { // a later life knows nothing of its connections
 				return control.Unknown, nil
 			}
-			if token < k.Token && !w.AnyToken || e.Session != k.Session {
+			if !k.Command(token, e.Session, e.Orders) {
 				return control.Refused, k.report()
 			}
-			k.accept(token)
-			k.Execute(e.Orders)
 			return control.OK, k.report()
 		}
 		fate := Answered
@@ -834,28 +771,14 @@
 		}
 		back(ev)
 	case control.Rent:
-		names := w.rented[e.Rental.Name]
-		have := e.Rental.Count
-		if w.Capacity > 0 {
-			have = min(have, w.Capacity-len(w.Workers)-len(w.booting))
-		}
-		if w.full || names == nil && have <= 0 {
+		if w.full {
 			back(control.RentBack{Rental: e.Rental, Outcome: control.Refused})
 			return
 		}
-		if names == nil {
-			for range have {
-				w.machines++
-				n := fmt.Sprintf("n-%06d", w.machines)
-				names = append(names, n)
-				boot := w.Boot
-				if w.Boots != nil {
-					boot = w.Boots()
-				}
-				w.booting[n] = bootingMachine{
-					model.Listed{Machine: n, Type: e.Rental.Type, Zone: e.Rental.Zone, Spot: e.Rental.Spot}, w.now.Add(boot)}
-			}
-			w.rented[e.Rental.Name] = names
+		names, ok := w.Rent(w.now, e.Rental)
+		if !ok {
+			back(control.RentBack{Rental: e.Rental, Outcome: control.Refused})
+			return
 		}
 		if w.CloudMute {
 			back(control.RentBack{Rental: e.Rental, Outcome: control.Unknown})
@@ -867,7 +790,7 @@
 		w.queue = append(w.queue, func() {
 			for _, n := range e.Machines {
 				delete(w.Workers, n)
-				delete(w.booting, n)
+				w.Forget(n)
 			}
 			back(control.ReturnBack{Machines: e.Machines, Outcome: control.OK})
 		})
@@ -926,6 +849,3 @@
 		back(control.PagesIn{Team: e.Team, Pages: pages})
 	}
 }
-
-// Rented tells how many machines were ever rented.
-func (w *World) Rented() int { return w.machines }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -208,8 +208,8 @@
 	return rest, true, nil
 }
 
-// appendJob writes a job in the form that users submit it in.
-func appendJob(b []byte, s *model.Spec) []byte {
+// AppendJob writes a job in the form that users submit it in.
+func AppendJob(b []byte, s *model.Spec) []byte {
 	n := uint32(len(required))
 	if len(s.Types) > 0 {
 		n++
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -33,7 +33,7 @@
 	}
 	b = msgp.AppendMapHeader(b, n)
 	b = appendUint(b, "at", uint64(at.UnixMilli()))
-	b = appendJob(msgp.AppendString(b, "job"), s)
+	b = AppendJob(msgp.AppendString(b, "job"), s)
 	if len(awaits) > 0 {
 		b = appendStrs(b, "awaits", awaits)
 	}
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -17,11 +17,11 @@
 	"incomplete": model.CauseAlone, "error": model.CauseError, "no_room": model.CauseNoRoom, "busy": model.CauseBusy,
 	"no_such": model.CauseUnknown}
 
-// taskName writes a task's name on the wire.
-func taskName(t model.TaskID) string { return t.Job + "/" + strconv.Itoa(t.Index) }
+// TaskName writes a task's name on the wire.
+func TaskName(t model.TaskID) string { return t.Job + "/" + strconv.Itoa(t.Index) }
 
-// parseTask reads a task's name.
-func parseTask(s string) (model.TaskID, error) {
+// ParseTask reads a task's name.
+func ParseTask(s string) (model.TaskID, error) {
 	job, idx, ok := strings.Cut(s, "/")
 	n, err := strconv.Atoi(idx)
 	if !ok || err != nil || n < 0 || n >= maxTasks || !model.JobIDValid(job) {
@@ -85,7 +85,7 @@
 			rest, ok, err := readStr(b, &s)
 			if err == nil {
 				var nameErr error
-				t.Task, nameErr = parseTask(s)
+				t.Task, nameErr = ParseTask(s)
 				badName = nameErr != nil
 			}
 			return rest, ok, err
@@ -129,7 +129,7 @@
 		}
 		b = msgp.AppendMapHeader(b, n)
 		b = appendStr(b, "verb", verb)
-		b = appendStr(b, "row", taskName(o.Task))
+		b = appendStr(b, "row", TaskName(o.Task))
 		b = appendUint(b, "try", o.Try)
 		if o.Op == model.OpStop {
 			b = appendNum(b, "windDownS", o.Grace.Seconds())
