rehearse scale: real controllers with thousands of hollow workers

Need: what one controller carries was only known from simulated machines. Controllers are processes, their sockets are real; workers are hollow.

--- /dev/null
+++ b/internal/rehearse/scale/scale_test.go
@@ -0,0 +1,113 @@
+package scale
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+func TestPlansOutOfRangeAreRefusedBeforeAnythingIsStarted(t *testing.T) {
+	for want, change := range map[string]func(p *Plan){
+		"workers":            func(p *Plan) { p.Workers = 3 },
+		"regions":            func(p *Plan) { p.Regions = 0 },
+		"controllers":        func(p *Plan) { p.Controllers = 99 },
+		"seconds":            func(p *Plan) { p.Seconds = -1 },
+		"starts-per-second":  func(p *Plan) { p.Starts = -1 },
+		"no kind \"meteor\"": func(p *Plan) { p.Faults = []Fault{{"meteor", 1}} },
+		"no \"everything\"":  func(p *Plan) { p.Break = "everything" },
+		"fewer than ten":     func(p *Plan) { p.Workers, p.Regions = 20, 10 },
+	} {
+		p := DefaultPlan()
+		change(&p)
+		if _, err := Run(context.Background(), p, t.Logf); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+func TestWhatTheMachineDoesNotHaveIsRefused(t *testing.T) {
+	for want, n := range map[string]Needs{
+		"memory: 999999999 MB are needed":   {MemoryMB: 999_999_999},
+		"open files: 1999999999 are needed": {Files: 1_999_999_999},
+		"processes: 5000 are needed":        {Processes: 5000},
+		"":                                  {MemoryMB: 1, Files: 1, Processes: 1},
+	} {
+		err := n.Check()
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+}
+
+func TestPlansAreReadFromFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan.toml")
+	text := "workers = 500\nstarts_per_second = 20.5\n[[fault]]\nkind = \"zone\"\nat_s = 4.0\n"
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	p, err := ReadPlan(path, DefaultPlan())
+	if err != nil || p.Workers != 500 || p.Starts != 20.5 || p.Teams != 140 || len(p.Faults) != 1 || p.Faults[0].Kind != ZoneHangs {
+		t.Errorf("read as %+v, %v", p, err)
+	}
+	if err := os.WriteFile(path, []byte("wrokers = 500"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadPlan(path, DefaultPlan()); err == nil {
+		t.Error("a name that there is not was read")
+	}
+	if _, err := ParseFault("leader"); err == nil {
+		t.Error("a failure without a moment was read")
+	}
+}
+
+// The two ends of the worker protocol understand each other.
+func TestMessagesAreReadAsTheyWereWritten(t *testing.T) {
+	report := &model.Report{Machine: "n-1", Addr: "127.64.0.1:9000", Type: plainType, Zone: "a", Session: 2, Seq: 7, Token: 41,
+		Tasks: []model.TaskReport{{Task: model.TaskID{Job: "wk-000001", Index: 3}, Try: 9, Phase: model.Exited, Cause: model.CausePeers, Saved: true},
+			{Task: model.TaskID{Job: "wk-000002"}, Try: 1, Phase: model.Waiting}}}
+	got, err := wire.DecodeReport(appendReport(nil, report))
+	if err != nil || got.Addr != report.Addr || got.Session != 2 || got.Seq != 7 || got.Token != 41 || len(got.Tasks) != 2 || got.Tasks[0] != report.Tasks[0] || got.Tasks[1] != report.Tasks[1] {
+		t.Errorf("read as %+v, %v", got, err)
+	}
+	orders := []model.Order{{Op: model.OpLaunch, Task: model.TaskID{Job: "wk-000001", Index: 4}, Try: 5}, {Op: model.OpStop, Task: model.TaskID{Job: "wk-000001"}, Try: 6, Grace: 10 * time.Second}}
+	m, err := decodeMessage(wire.AppendCommands(nil, 41, 2, orders))
+	if err != nil || m.token != 41 || m.session != 2 || len(m.orders) != 2 || m.orders[0] != orders[0] || m.orders[1] != orders[1] {
+		t.Errorf("read as %+v, %v", m, err)
+	}
+	if decodeLeader(wire.AppendLeader(nil, "tiller-2")) != "tiller-2" || decodeLeader(wire.AppendLeader(nil, "")) != "" {
+		t.Error("whom a 421 names is not read")
+	}
+	if decodeState(wire.AppendShortStatus(nil, "wk-000001", wire.StateCancelled)) != wire.StateCancelled {
+		t.Error("a job's state is not read")
+	}
+	types := machineTypes([]string{"a", "b"})
+	if read, err := wire.DecodeCatalog(appendCatalog(nil, types)); err != nil || len(read) != 2 || read[1].Cap != types[1].Cap || len(read[0].Zones) != 2 {
+		t.Errorf("the catalogue is read as %+v, %v", read, err)
+	}
+	rental := model.Rental{Name: "r-1", Type: gpuType, Zone: "a", Spot: true, Count: 3}
+	if read, err := decodeRental(wire.AppendRent(nil, rental)); err != nil || read != rental {
+		t.Errorf("a rental is read as %+v, %v", read, err)
+	}
+}
+
+// Each region has its part of every limit, so that all together stay within it.
+func TestRegionsShareLimits(t *testing.T) {
+	p := DefaultPlan()
+	p.Workers, p.Regions = 10_000, 5
+	one, _ := p.teams()[0].Limit.CPU.Most()
+	for _, k := range newFleet(&p).Workers {
+		t.Errorf("there is a worker already: %s", k.Name)
+	}
+	whole := DefaultPlan()
+	whole.Workers = 10_000
+	all, _ := whole.teams()[0].Limit.CPU.Most()
+	if one*5 != all {
+		t.Errorf("%v in each of five regions, %v in one", one, all)
+	}
+}
--- /dev/null
+++ b/internal/rehearse/scale/standins.go
@@ -0,0 +1,312 @@
+package scale
+
+import (
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/glentiller/glentiller/internal/fake"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/rpc"
+	"github.com/glentiller/glentiller/internal/wire"
+)
+
+// traffic counts messages and their bytes by kind.
+type traffic struct {
+	mu    sync.Mutex
+	kinds map[string]*Flow
+}
+
+// Flow is how much of one kind of message has passed.
+type Flow struct {
+	Messages int `json:"messages"`
+	BytesIn  int `json:"bytes_in"`  // to the stand-in
+	BytesOut int `json:"bytes_out"` // from it
+}
+
+func newTraffic() *traffic { return &traffic{kinds: map[string]*Flow{}} }
+
+func (t *traffic) count(kind string, in, out int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.kinds[kind]
+	if f == nil {
+		f = &Flow{}
+		t.kinds[kind] = f
+	}
+	f.Messages++
+	f.BytesIn += in
+	f.BytesOut += out
+}
+
+// snapshot copies what was counted.
+func (t *traffic) snapshot() map[string]Flow {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]Flow{}
+	for k, f := range t.kinds {
+		out[k] = *f
+	}
+	return out
+}
+
+// serveLoopback serves HTTP on a loopback address until it is closed.
+func serveLoopback(address string, handler fasthttp.RequestHandler) (*fasthttp.Server, net.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &fasthttp.Server{Handler: handler, MaxRequestBodySize: 1 << 20, ReduceMemoryUsage: true, NoDefaultServerHeader: true,
+		NoDefaultDate: true, CloseOnShutdown: true, Logger: quiet{}, ReadTimeout: 2 * time.Minute}
+	go func() { _ = s.Serve(l) }() // it ends as the listener is closed
+	return s, l, nil
+}
+
+// quiet drops the HTTP library's own log: broken connections are everyday where processes are ended.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// stateServer is the stand-in of the state service behind a socket.
+type stateServer struct {
+	addr    string
+	traffic *traffic
+	http    *fasthttp.Server
+
+	mu      sync.Mutex
+	state   *fake.State
+	changed chan struct{} // closed as keys change
+	changes int           // writes and removals of transactions that were carried out
+	done    chan struct{}
+}
+
+func newStateServer(address string) (*stateServer, error) {
+	s := &stateServer{traffic: newTraffic(), state: fake.NewState(time.Now), changed: make(chan struct{}), done: make(chan struct{})}
+	s.state.MostOps, s.state.MostValue = txnOps, valueKB<<10
+	s.state.Carried = func(ops []any) { s.changes += len(ops) }
+	var l net.Listener
+	var err error
+	if s.http, l, err = serveLoopback(address, s.handle); err != nil {
+		return nil, err
+	}
+	s.addr = l.Addr().String()
+	go s.expire()
+	return s, nil
+}
+
+func (s *stateServer) close() error {
+	close(s.done)
+	return s.http.Shutdown()
+}
+
+// expireEvery is how late a lease may end.
+const expireEvery = 50 * time.Millisecond
+
+// expire ends leases as their time comes, so that watches learn of it.
+func (s *stateServer) expire() {
+	every := time.NewTicker(expireEvery)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+			s.mu.Lock()
+			before := s.state.Revision()
+			s.state.Expire()
+			s.notify(before)
+			s.mu.Unlock()
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// notify wakes those that watch if anything has changed since a revision. The lock is held.
+func (s *stateServer) notify(before uint64) {
+	if s.state.Revision() != before {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// plant puts a machine on record.
+func (s *stateServer) plant(l model.Listed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Plant("machine/"+l.Machine, wire.AppendMachine(nil, l))
+}
+
+// leader is the name of the controller that leads; "": none does.
+func (s *stateServer) leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, _ := s.state.Value("leader/holder").(map[string]any)
+	name, _ := m["member"].(string)
+	return name
+}
+
+// counted tells how many changes were carried out.
+func (s *stateServer) counted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes
+}
+
+func (s *stateServer) handle(c *fasthttp.RequestCtx) {
+	kind := "state " + strings.ToLower(string(c.Method())) + " " + firstPart(string(c.Path()))
+	if string(c.Path()) == "/changes" {
+		s.await(c)
+	}
+	s.mu.Lock()
+	before := s.state.Revision()
+	body, err := s.state.Call(string(c.Method()), string(c.RequestURI()), c.PostBody(), 0)
+	s.notify(before)
+	s.mu.Unlock()
+	var status *rpc.StatusError
+	switch {
+	case errors.As(err, &status):
+		c.SetStatusCode(status.Status)
+		body = status.Body
+	case err != nil:
+		c.SetStatusCode(fasthttp.StatusBadRequest)
+	}
+	c.SetContentType("application/msgpack")
+	c.SetBody(body)
+	s.traffic.count(kind, len(c.PostBody()), len(body))
+}
+
+// await waits as long as a watch asks for until something has changed.
+func (s *stateServer) await(c *fasthttp.RequestCtx) {
+	args := c.QueryArgs()
+	after, _ := strconv.ParseUint(string(args.Peek("after")), 10, 64)
+	wait, _ := strconv.Atoi(string(args.Peek("waitMs")))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		has, changed := s.state.Changed(string(args.Peek("prefix")), after), s.changed
+		s.mu.Unlock()
+		if has {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// firstPart is a path up to its second slash.
+func firstPart(path string) string {
+	if i := strings.IndexByte(path[1:], '/'); i >= 0 {
+		return path[:i+1]
+	}
+	return path
+}
+
+// cloudServer is the stand-in of the cloud behind a socket.
+type cloudServer struct {
+	addr    string
+	traffic *traffic
+	http    *fasthttp.Server
+	region  *region
+	workers *workers
+	cloud   *fake.Cloud // under the workers' lock
+}
+
+func newCloudServer(address string, r *region, f *workers) (*cloudServer, error) {
+	s := &cloudServer{traffic: newTraffic(), region: r, workers: f}
+	s.cloud = fake.NewCloud(func() int { return f.in(r) })
+	s.cloud.Boot = bootTime
+	var l net.Listener
+	var err error
+	if s.http, l, err = serveLoopback(address, s.handle); err != nil {
+		return nil, err
+	}
+	s.addr = l.Addr().String()
+	return s, nil
+}
+
+func (s *cloudServer) close() error { return s.http.Shutdown() }
+
+func (s *cloudServer) handle(c *fasthttp.RequestCtx) {
+	c.SetContentType("application/msgpack")
+	path := string(c.Path())
+	switch {
+	case path == "/catalog":
+		c.SetBody(appendCatalog(nil, machineTypes(s.region.zones)))
+	case path == "/rentals" && c.IsGet():
+		s.list(c)
+	case path == "/rentals":
+		s.rent(c)
+	case path == "/rentals/return":
+		s.giveBack(c)
+	default:
+		c.SetStatusCode(fasthttp.StatusNotFound)
+	}
+	s.traffic.count("cloud "+strings.ToLower(string(c.Method()))+" "+path, len(c.PostBody()), len(c.Response.Body()))
+}
+
+func (s *cloudServer) rent(c *fasthttp.RequestCtx) {
+	r, err := decodeRental(c.PostBody())
+	if err != nil {
+		c.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	s.workers.mu.Lock()
+	names, ok := s.cloud.Rent(time.Now(), r)
+	s.workers.mu.Unlock()
+	if !ok {
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		c.SetBody(wire.AppendError(nil, "no capacity"))
+		return
+	}
+	c.SetBody(wire.AppendMachines(nil, names))
+}
+
+func (s *cloudServer) giveBack(c *fasthttp.RequestCtx) {
+	names, err := wire.DecodeMachines(c.PostBody())
+	if err != nil {
+		c.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	s.workers.giveBack(s.region, s.cloud, names)
+	c.SetBody([]byte{0x80})
+}
+
+const mostListed = 500 // machines in a page
+
+func (s *cloudServer) list(c *fasthttp.RequestCtx) {
+	page, err := strconv.Atoi(string(c.QueryArgs().Peek("page")))
+	if err != nil || page < 1 || page > mostListed {
+		page = mostListed
+	}
+	all := s.workers.list(s.region, s.cloud)
+	from, _ := slices.BinarySearchFunc(all, string(c.QueryArgs().Peek("after"))+"\x00", func(l model.Listed, name string) int {
+		return strings.Compare(l.Machine, name)
+	})
+	rest := all[from:]
+	c.SetBody(appendList(nil, rest[:min(page, len(rest))], len(rest) > page))
+}
+
+// list lists a region's machines in the order of their names.
+func (w *workers) list(r *region, c *fake.Cloud) []model.Listed {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []model.Listed
+	for _, h := range w.byRegion[r] {
+		out = append(out, h.listed())
+	}
+	out = append(out, slices.Collect(maps.Values(c.Booting()))...)
+	slices.SortFunc(out, func(a, b model.Listed) int { return strings.Compare(a.Machine, b.Machine) })
+	return out
+}
