--- a/cmd/glentiller/main.go
+++ b/cmd/glentiller/main.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -44,7 +46,10 @@
 	return p, o, nil
 }
 
-type serveCmd struct{ files }
+type serveCmd struct {
+	files
+	Profile string `placeholder:"FILE" help:"Write a profile of the processor's time there, from the start to the end."`
+}
 
 // Run serves until the process is told to end.
 func (c *serveCmd) Run() error {
@@ -70,9 +75,35 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if c.Profile != "" {
+		done, err := profile(ctx, c.Profile)
+		if err != nil {
+			return err
+		}
+		defer done()
+	}
 	return node.New(p, o, version, log).Run(ctx)
 }
 
+// profile writes a profile of the processor's time to a file, until the context ends: what comes after that are
+// connections that are closed. done waits for the file to be whole.
+func profile(ctx context.Context, path string) (done func(), err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	written := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		pprof.StopCPUProfile()
+		_ = f.Close() // a profile that is cut short is told of by whoever reads it
+		close(written)
+	})
+	return func() { <-written }, nil
+}
+
 // rareGC lets the heap grow to four times what lives in it.
 const rareGC = 300
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"runtime/metrics"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +69,7 @@
 	core  *control.Core
 	term  uint64 // counts the leaderships of this process; effects of an earlier one are void
 	held  holds
+	event control.Event // that the core took last
 	// What it knows of cancellations as leader; nil: its core is not there yet.
 	book   *word.Book
 	bound  word.Bound
@@ -330,17 +333,22 @@
 // hold runs a piece of work and measures for how long it held the loop.
 func (n *Node) hold(what string, f func(now time.Time)) {
 	now := time.Now()
+	n.event = nil
 	f(now)
 	if took := time.Since(now); took > n.held.most {
-		n.held.most, n.held.what = took, what
+		n.held.most, n.held.what, n.held.event = took, what, ""
+		if n.event != nil {
+			n.held.event = strings.TrimPrefix(fmt.Sprintf("%T", n.event), "control.")
+		}
 	}
 }
 
 // holds is what held the loop longest since it was last told.
 type holds struct {
-	most time.Duration
-	what string
-	told time.Time
+	most  time.Duration
+	what  string
+	event string // the kind of the core's event; "": none
+	told  time.Time
 }
 
 // tellHolds logs what held the loop longest.
@@ -348,7 +356,7 @@
 	if now.Sub(n.held.told) < holdEvery {
 		return
 	}
-	n.log.Info("loop", "longest_hold", n.held.most, "by", n.held.what, "inbox", len(n.inbox), "right", n.right.Load().until().Sub(now))
+	n.log.Info("loop", "longest_hold", n.held.most, "by", n.held.what, "event", n.held.event, "inbox", len(n.inbox), "right", n.right.Load().until().Sub(now))
 	n.held = holds{told: now}
 }
 
@@ -541,6 +549,7 @@
 	if n.core == nil {
 		return nil
 	}
+	n.event = ev
 	effects := n.core.Step(now, ev)
 	for _, e := range effects {
 		n.perform(now, e)
