A chunk of finished tasks waits once in the queue of records

The queue grew to tens of thousands, and each transaction copied it: SaveBack held the loop for up to 0.9 s, memory ran short, leases of healthy machines ran out. Change: a chunk waits once; what it holds is taken from the job as it leaves.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -108,6 +108,7 @@
 	returnAt  time.Time // none is asked for before this
 
 	saves     []Save
+	chunks    map[chunkKey]bool // of finished-task records that wait among the saves
 	saving    bool
 	fence     bool // a transaction without an answer may yet be carried out
 	lone      bool // the last transaction held one save
@@ -154,7 +155,7 @@
 		teams: map[string]*model.Team{}, jobs: map[string]*model.Job{}, graph: model.NewGraph(), times: map[string][]float64{}, machines: map[string]*model.Machine{},
 		gone: map[string]time.Time{}, use: map[string]*model.Usage{}, gpuNeed: map[model.Resources]bool{}, runs: runTimes{}, startCounts: map[string]bool{},
 		refused: map[fleet.Offer]time.Time{}, renting: map[string]model.Rental{}, rentAt: map[string]time.Time{},
-		dirtyJobs: map[string]bool{}, ruled: map[*model.Job]*ruled{}, keptGPU: map[*model.MachineType]bool{}, doubts: map[machineKind]int{}, quietAt: map[string]time.Time{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
+		dirtyJobs: map[string]bool{}, chunks: map[chunkKey]bool{}, ruled: map[*model.Job]*ruled{}, keptGPU: map[*model.MachineType]bool{}, doubts: map[machineKind]int{}, quietAt: map[string]time.Time{}, news: map[*model.Machine]bool{}, types: types, listAt: now, catalogAt: now, sweepAt: now,
 		resumeAt:  now.Add(set.SilentAfter),
 		detector:  hearing.Settings{Lease: set.Lease, Gap: max(dropped, set.Report+set.Report/2), Replace: set.SilentAfter},
 		inDoubtOf: map[*model.Machine]bool{}, provedAt: now}
@@ -511,157 +512,6 @@
 	}
 }
 
-// flush queues the changed chunks of finished-task records.
-func (c *Core) flush(now time.Time) {
-	for id := range c.dirtyJobs {
-		j := c.jobs[id]
-		delete(c.dirtyJobs, id)
-		if j == nil || j.State != model.JobActive {
-			continue
-		}
-		for k := range j.Dirty {
-			from := k.N / 8
-			to := min(from+model.ChunkTasks/8, len(j.Bits))
-			c.saves = append(c.saves, Save{Kind: SaveTasks, Job: id, Chunk: k, Bits: append([]byte(nil), j.Bits[from:to]...)})
-			delete(j.Dirty, k)
-			j.Recorded[k] = true
-		}
-	}
-	c.flushAt = now.Add(c.set.Flush)
-}
-
-// commit sends the next batch of records, one transaction at a time. Ends of jobs
-// that are done and new machines go first, since somebody waits for them; then saves
-// that go alone take turns with batches of the others.
-func (c *Core) commit(now time.Time) {
-	if c.saving || len(c.saves) == 0 || now.Before(c.saveAt) {
-		return
-	}
-	if c.fence {
-		c.saving = true
-		c.emit(Fence{})
-		return
-	}
-	first, other := -1, -1
-	for i := range c.saves {
-		s := &c.saves[i]
-		instead, waits := c.heldUp(now, s)
-		if waits && instead < 0 {
-			continue
-		}
-		if s.Kind == EndJob || s.Kind == SaveMachine {
-			if first = i; waits {
-				first = instead
-			}
-			break
-		}
-		if other < 0 || c.lone && c.saves[other].alone() && !s.alone() {
-			other = i
-		}
-	}
-	if first < 0 {
-		first = other
-	}
-	if first < 0 {
-		return // all that there is waits for a reading
-	}
-	var batch, rest []Save
-	c.lone = c.saves[first].alone()
-	if c.lone {
-		if batch, rest = c.together(now, first); len(batch) == 0 {
-			c.saves = rest
-			return
-		}
-	} else {
-		room := c.set.TxnOps
-		for pass := 0; pass < 2; pass++ {
-			for _, s := range c.saves {
-				if (s.Kind == SaveMachine) != (pass == 0) {
-					continue
-				}
-				if !s.alone() && room > 0 {
-					batch = append(batch, s)
-					room--
-				} else {
-					rest = append(rest, s)
-				}
-			}
-		}
-	}
-	c.saves = rest
-	c.saving = true
-	c.emit(Commit{batch})
-}
-
-func (c *Core) saveBack(now time.Time, ev SaveBack) {
-	c.saving = false
-	switch ev.Outcome {
-	case Unknown, NotSent:
-		// Every save may be repeated: it writes whole values, under the condition
-		// that this leader's token is still the last one.
-		c.saves = append(ev.Saves, c.saves...)
-		c.saveAt = now.Add(saveRetry)
-		c.fence = c.fence || ev.Outcome == Unknown
-		return
-	case Rejected:
-		c.rejected(now, ev.Saves)
-		return
-	}
-	saves := ev.Saves
-	if ev.Outcome == Refused {
-		saves = c.refusedEnds(saves)
-	}
-	for _, s := range saves {
-		switch s.Kind {
-		case SaveUse, FoldUse:
-			c.settled(now, s, ev)
-		case SaveMachine:
-			if m := c.machines[s.Machine.Machine]; m != nil && ev.Outcome == OK {
-				m.Registered = true
-				c.dirty = true
-			}
-		case SaveTasks:
-			if j := c.jobs[s.Job]; j != nil && ev.Outcome == OK {
-				j.Durable(s.Chunk.N, s.Bits)
-			}
-		case EndJob, EndDoomed:
-			// Done: the watch tells of it too. Refused: somebody else has ended the
-			// job, or an earlier copy of this very save has; the watch tells.
-			if ev.Outcome == OK {
-				end := model.EndDone
-				if s.Kind == EndDoomed {
-					end = model.EndCancelled
-				}
-				c.endJob(now, JobEnded{ID: s.Job, End: end, At: s.At})
-			}
-		}
-	}
-}
-
-// rejected takes saves that the state service will not carry out as they stand.
-// Guards against an endless loop round one record that is too large: of several each
-// is tried alone, and one that was alone is dropped, or tried again much later where
-// a job hangs on it.
-func (c *Core) rejected(now time.Time, saves []Save) {
-	if len(saves) > 1 {
-		for i := range saves {
-			saves[i].Solo = true
-		}
-		c.saves = append(c.saves, saves...)
-		return
-	}
-	switch saves[0].Kind {
-	case SaveUse:
-		c.unsettled(now, saves[0])
-	case FoldUse:
-		c.settled(now, saves[0], SaveBack{Outcome: Rejected})
-	}
-	if j := c.jobs[saves[0].Job]; j != nil && (saves[0].Kind == EndJob || saves[0].Kind == EndDoomed) {
-		j.Set(model.JobActive)
-		j.NotBefore = now.Add(c.set.BackoffMost)
-	}
-}
-
 // nextTry gives an attempt number that no leader gives again: the token is in
 // its upper half.
 func (c *Core) nextTry() uint64 {
