Passes look at what they weigh: held attempts are indexed, what could make way is looked at machine by machine

Change: a machine lists the attempts that it holds, kept as they change state; a pass looks at a machine's attempts where it weighs it, with what a job's attempts have in common worked out once; rates are compared by kind of machine; one look-up a machine for silent zones. The decisions are the same. The test of when a pass looks is as strict by machine: none where room is enough, each at most once, and only such as the work may use.

--- a/internal/control/accounting.go
+++ b/internal/control/accounting.go
@@ -231,10 +231,8 @@
 // chargeAll charges what runs up to the last message of its machine.
 func (c *Core) chargeAll(now time.Time) {
 	for _, m := range c.machines {
-		for _, a := range m.Rows {
-			if a.Holds() {
-				c.charge(now, a, m.LastSeen)
-			}
+		for _, a := range m.Held() {
+			c.charge(now, a, m.LastSeen)
 		}
 	}
 }
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -296,20 +296,26 @@
 // most of its workers may have found their way while the last ones are still looking for theirs,
 // and must not be taken for dead.
 func (c *Core) quietZones(now time.Time) map[string]bool {
-	silent, up := map[string]int{}, map[string]int{}
+	counts := map[string]*zoneCount{anyZone: {}}
+	all := counts[anyZone]
 	for _, m := range c.machines {
-		if m.State == model.Ready || m.State == model.Draining || m.State == model.Unsettled {
-			up[m.Zone]++
-			up[anyZone]++
-			if now.Sub(m.LastReport) > c.set.SilentAfter/2 {
-				silent[m.Zone]++
-				silent[anyZone]++
-			}
+		if m.State != model.Ready && m.State != model.Draining && m.State != model.Unsettled {
+			continue
+		}
+		n := counts[m.Zone]
+		if n == nil {
+			n = &zoneCount{}
+			counts[m.Zone] = n
+		}
+		silent := now.Sub(m.LastReport) > c.set.SilentAfter/2
+		n.add(silent)
+		if n != all {
+			all.add(silent)
 		}
 	}
 	quiet := map[string]bool{}
-	for z, n := range silent {
-		if n > 1 && float64(n) > c.set.SilentShare*float64(up[z]) {
+	for z, n := range counts {
+		if n.silent > 1 && float64(n.silent) > c.set.SilentShare*float64(n.up) {
 			c.quietAt[z] = now
 		}
 	}
@@ -320,3 +326,13 @@
 	}
 	return quiet
 }
+
+// zoneCount counts the machines of a zone that are up, and those of them that are silent.
+type zoneCount struct{ up, silent int }
+
+func (n *zoneCount) add(silent bool) {
+	n.up++
+	if silent {
+		n.silent++
+	}
+}
--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -179,19 +179,7 @@
 	for t, u := range c.use {
 		p.Used[t], p.Leaving[t] = u.Held.Add(unknown), u.Leaving
 	}
-	p.Look = func() {
-		for _, nd := range p.Nodes {
-			for _, a := range nd.Machine.Rows {
-				switch {
-				case !a.Holds() || a.Job == nil:
-				case a.State == model.Stopping:
-					nd.Freeing = nd.Freeing.Add(a.Need)
-				case a.Job.State == model.JobActive:
-					nd.Victims = append(nd.Victims, c.victim(now, a, guaranteed[a.Job]))
-				}
-			}
-		}
-	}
+	p.Look = c.looker(now, guaranteed)
 	return p
 }
 
@@ -207,8 +195,8 @@
 			continue
 		}
 		var soon model.Resources
-		for _, a := range m.Rows {
-			if a.Holds() && a.Job != nil && c.endsSoon(now, a) {
+		for _, a := range m.Held() {
+			if a.Job != nil && c.endsSoon(now, a) {
 				soon = soon.Add(a.Need)
 			}
 		}
@@ -248,27 +236,6 @@
 	return left < time.Duration(c.set.Fleet.SoonBoots*float64(a.Machine.Type.Boot))
 }
 
-// victim describes an attempt that might be stopped to make room.
-func (c *Core) victim(now time.Time, a *model.Attempt, guaranteed bool) sched.Running {
-	s := a.Job.Spec
-	v := sched.Running{Attempt: a, Rank: a.Job.Rank, Over: !guaranteed, Gang: s.Shape == model.Gang, Band: c.band(s.Team)}
-	if s.Checkpoint > 0 {
-		v.Save = grace(a)
-	}
-	ran := time.Duration(0)
-	if !a.RunningAt.IsZero() {
-		ran = now.Sub(a.RunningAt)
-		if v.Loss = ran; s.Checkpoint > 0 {
-			// It saves by itself at each checkpoint. Where between two of them it
-			// is depends on its machine's speed and on what it had done before.
-			v.Loss = min(ran, s.Checkpoint/2)
-		}
-	}
-	v.Young = ran < c.set.Sched.MinRun
-	v.Slack, v.Due = c.slack(now, a.Job, true, ran-v.Loss)
-	return v
-}
-
 // guaranteed tells which jobs fit into their team's guarantee together with the
 // team's earlier unfinished jobs.
 func (c *Core) guaranteed() map[*model.Job]bool {
@@ -368,39 +335,6 @@
 	return true
 }
 
-// slack is the time that a job's tasks have left, which have run for some time
-// or wait: to the next of its dates that can still be met, less the estimated
-// run time that is left. Dates are the job's deadline, what users expect of its
-// class, and by when it must be done for the sake of the jobs behind it. due tells that it has any date;
-// the slack is negative once none can be met.
-func (c *Core) slack(now time.Time, j *model.Job, started bool, ran time.Duration) (slack time.Duration, due bool) {
-	s := j.Spec
-	age := now.Sub(j.Since)
-	estimate := max(c.runs.estimate(s)-ran, 0)
-	slack = -1
-	date := func(left time.Duration) {
-		due = true
-		if left >= 0 && (slack < 0 || left < slack) {
-			slack = left
-		}
-	}
-	for _, d := range c.dates(j) {
-		date(d.Sub(now) - estimate)
-	}
-	for _, d := range j.Ahead {
-		date(d.Sub(now) - estimate)
-	}
-	for _, a := range c.set.Aims[s.Class] {
-		if a.Start > 0 && !started {
-			date(a.Start - age)
-		}
-		if a.Finish > 0 {
-			date(a.Finish - age - estimate)
-		}
-	}
-	return slack, due
-}
-
 // rent asks for machines for what fits nowhere.
 func (c *Core) rent(now time.Time, p *sched.Picture, lacking []sched.Shortage) {
 	if len(lacking) == 0 || len(c.renting) >= maxRenting {
--- a/internal/control/pipelines.go
+++ b/internal/control/pipelines.go
@@ -134,11 +134,16 @@
 	}
 	out := []time.Time{j.At.Add(j.Spec.Deadline)}
 	for _, times := range c.times[j.Spec.Class] {
-		out = append(out, j.At.Add(time.Duration(times*float64(j.Spec.Deadline))))
+		out = append(out, c.multiple(j, times))
 	}
 	return out
 }
 
+// multiple is a multiple of a job's deadline.
+func (c *Core) multiple(j *model.Job, times float64) time.Time {
+	return j.At.Add(time.Duration(times * float64(j.Spec.Deadline)))
+}
+
 // earlier takes the earlier one of two rows of dates, place by place. A row that is
 // shorter says nothing of the later places but its last date.
 func earlier(a, b []time.Time) []time.Time {
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -59,6 +59,8 @@
 
 	Choice Choice // why it is on its machine; zero where another leader chose
 
+	slot int // its place among the attempts that count as being on its machine
+
 	// For the ledger; zero while no message has shown it running.
 	Ran     time.Time // the first message to this leader that showed it running
 	Charged time.Time // up to here its run time is charged
@@ -111,14 +113,14 @@
 		a.Use.Held = a.Use.Held.Add(a.Need)
 		a.Use.holding++
 		a.Machine.Used = a.Machine.Used.Add(a.Need)
-		a.Machine.Holding++
+		a.Machine.hold(a)
 	} else {
 		a.Use.Held = a.Use.Held.Sub(a.Need)
 		if a.Use.holding--; a.Use.holding == 0 {
 			a.Use.Held, a.Use.Leaving = Resources{}, Resources{} // no rounding is left behind
 		}
 		a.Machine.Used = a.Machine.Used.Sub(a.Need)
-		a.Machine.Holding--
+		a.Machine.release(a)
 		if a.Machine.Holding == 0 {
 			a.Machine.Used = Resources{}
 		}
@@ -194,6 +196,7 @@
 	Used    Resources
 	Holding int // attempts that count as being on it
 	Rows    map[AttemptKey]*Attempt
+	held    []*Attempt // those of the rows that count as being on it
 
 	EmptySince time.Time
 	Rented     time.Time // when it was asked for, as far as is known
@@ -224,5 +227,25 @@
 	return true
 }
 
+// Held lists the attempts that count as being on the machine, in no order. It is kept as attempts change, and is
+// not to be changed by others. Guards against looks at all that runs that go through the rows of ended attempts
+// too, which stay for leases.
+func (m *Machine) Held() []*Attempt { return m.held }
+
+func (m *Machine) hold(a *Attempt) {
+	a.slot = len(m.held)
+	m.held = append(m.held, a)
+	m.Holding++
+}
+
+func (m *Machine) release(a *Attempt) {
+	last := len(m.held) - 1
+	m.held[a.slot] = m.held[last]
+	m.held[a.slot].slot = a.slot
+	m.held[last] = nil
+	m.held = m.held[:last]
+	m.Holding--
+}
+
 // Free is what is not taken.
 func (m *Machine) Free() Resources { return m.Type.Cap.Sub(m.Used) }
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -34,7 +34,6 @@
 	if lack <= 0 || spec.Shape == model.Gang && spec.Tasks > 1 {
 		return 0
 	}
-	p.look()
 	zones := map[string]int{}
 	for z, n := range w.Zones {
 		zones[z] = n
@@ -69,6 +68,7 @@
 				continue
 			}
 			if !c.known || len(c.set) > *stops {
+				p.look(c.nd)
 				c.judge(w, *stops)
 			}
 			if c.free {
@@ -148,13 +148,11 @@
 	}
 	var may []at
 	short := func() bool { return (missing.CPU > 1e-6 || missing.GPU > 1e-6) && *stops > 0 }
-	if short() {
-		p.look()
-	}
 	for _, nd := range p.Nodes {
 		if !short() {
 			break // enough is on its way out
 		}
+		p.look(nd)
 		for i, v := range nd.Victims {
 			if v.Attempt.Team == spec.Team && v.Rank < w.Job.Rank && w.mayStop(&v) && !v.Gang && (!v.Young || v.Rank == model.Low && w.tier() == 0) &&
 				(v.Save > 0 || w.tier() == 0) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -64,6 +64,7 @@
 	Class   int             // its class of machines, where a want has rules
 	Victims []Running
 	claimed model.Resources // of Freeing, promised to wants that go first
+	looked  bool            // what runs on it is filled in
 }
 
 // Want is a number of tasks of one job that wait.
@@ -175,25 +176,23 @@
 	Teams   map[string]*model.Team
 	Zones   []string                  // that machines are in, by name; nil: found out where it is needed
 	RulesOf func(j *model.Job) *Rules // of a job that runs; nil: none has any
-	Look    func()                    // fills in what runs on the nodes; called once, when room is short
+	Look    func(nd *Node)            // fills in what runs on a node; called once for each that could make room
 
-	looked bool
-	short  shorts
+	short shorts
+	kinds []*Node // one node of each kind of machine; nil: not looked for yet
 }
 
-// look has the nodes show what runs on them.
-func (p *Picture) look() {
-	if p.looked {
+// look has a node show what runs on it.
+func (p *Picture) look(nd *Node) {
+	if nd.looked {
 		return
 	}
-	p.looked = true
+	nd.looked = true
 	if p.Look != nil {
-		p.Look()
+		p.Look(nd)
 	}
-	for _, nd := range p.Nodes {
-		for i := range nd.Victims {
-			nd.Victims[i].at = nd.Victims[i].standing()
-		}
+	for i := range nd.Victims {
+		nd.Victims[i].at = nd.Victims[i].standing()
 	}
 }
 
@@ -559,8 +558,12 @@
 // dearer is the rate above which a machine counts as dear for a job: a factor
 // over the cheapest one that it may use.
 func (p *Picture) dearer(spec *model.Spec, rules *Rules, factor float64) float64 {
+	nodes := p.Nodes
+	if rules == nil {
+		nodes = p.machineKinds() // without rules nothing else tells machines of a kind apart
+	}
 	least := 0.0
-	for _, nd := range p.Nodes {
+	for _, nd := range nodes {
 		if r := rate(nd.Machine); nd.may(spec, rules, "") == Fits && (least == 0 || r < least) {
 			least = r
 		}
@@ -568,6 +571,28 @@
 	return least * factor
 }
 
+// machineKinds finds one node of each type, zone and kind of machine. Guards against a look at all machines for each
+// service and each replica.
+func (p *Picture) machineKinds() []*Node {
+	if p.kinds != nil {
+		return p.kinds
+	}
+	type kind struct {
+		of   *model.MachineType
+		zone string
+		spot bool
+	}
+	seen := map[kind]bool{}
+	for _, nd := range p.Nodes {
+		k := kind{nd.Machine.Type, nd.Machine.Zone, nd.Machine.Spot}
+		if !seen[k] {
+			seen[k] = true
+			p.kinds = append(p.kinds, nd)
+		}
+	}
+	return p.kinds
+}
+
 // zones lists the zones that machines are in: what has to be in one zone may be in any of them,
 // whether the settings name it or not.
 func (p *Picture) zones() []string {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -489,22 +489,33 @@
 }
 
 // Guards against a pass that looks at all that runs, at hundreds of machines, although
-// nothing has to make room: it is looked at once, and only where room is short.
+// nothing has to make room: what runs on a machine is looked at once, only where room is short, and only if
+// the machine is one that the work may use.
 func TestWhatRunsIsLookedAtOnlyWhenRoomIsShort(t *testing.T) {
 	pass := func(tasks int) (looks int, plan *Plan) {
 		var nodes []*Node
 		for i := range 500 {
 			nodes = append(nodes, node(fmt.Sprint("m", i), "a", cheap, 0))
 		}
+		for i := range 100 { // of which none takes the work
+			nodes = append(nodes, node(fmt.Sprint("n", i), "b", cheap, 0))
+		}
 		var wants []*Want
 		for i := range 3 {
 			w := want(fmt.Sprint("x", i), tasks, nil)
 			w.Guaranteed = true
+			w.Job.Spec.Zone = "a"
 			wants = append(wants, w)
 		}
 		p := picture(nodes, wants...)
 		p.Teams["red"].Limit.CPU = model.AtMost(1e6)
-		p.Look = func() { looks++ }
+		seen := map[*Node]bool{}
+		p.Look = func(nd *Node) {
+			if looks++; seen[nd] || nd.Machine.Zone != "a" {
+				t.Errorf("%s is looked at for nothing", nd.Machine.Name)
+			}
+			seen[nd] = true
+		}
 		plan = Make(set, p)
 		return looks, plan
 	}
@@ -512,7 +523,7 @@
 		t.Errorf("room for all: looked %d times, placed %d", looks, len(plan.Place))
 	}
 	looks, plan := pass(600)
-	if looks != 1 || len(plan.Place) != 1000 {
+	if looks != 500 || len(plan.Place) != 1000 {
 		t.Errorf("room for a thousand of 1800: looked %d times, placed %d", looks, len(plan.Place))
 	}
 }
