What may be stopped is judged by what a machine's attempts have in common first; passes held to looking at everything

Change: a machine's lowest rank, whether anything runs beyond a guarantee and what stands last rule most of them out. Two set-ups of tests now take attempts through their own change of state.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -122,6 +122,7 @@
 
 func main() {
 	var cli struct {
+		Capacity capacityCmd `cmd:"" help:"Fit what runs of scale have measured, and print the table of docs/CAPACITY.md."`
 		Scale    scaleCmd    `cmd:"" help:"Play real controllers with thousands of hollow workers, and measure what they take."`
 		Meetings meetingsCmd `cmd:"" help:"Play two or three troubles at a time that meet, with cancellations and tasks that outlast them."`
 		Troubles troublesCmd `cmd:"" help:"Play machines that do not hear, late copies, members cut off and lives a blink apart."`
--- /dev/null
+++ b/internal/rehearse/capacity/quantities.go
@@ -0,0 +1,32 @@
+package capacity
+
+import "github.com/glentiller/glentiller/internal/rehearse/scale"
+
+// Quantities are the rows of the table.
+func Quantities() []Quantity {
+	workersStarts := []Load{Workers, Starts}
+	return []Quantity{
+		{Role: "leader", Name: "processor, cores", By: workersStarts, Digits: 2, Of: func(r *scale.Result) float64 { return r.LeaderCores },
+			Budget: "1 core: the program uses one", Mechanism: "stands for a region of the mean size; missing for all in one"},
+		{Role: "leader", Name: "memory, MB", By: workersStarts, Digits: 0, Of: func(r *scale.Result) float64 { return r.LeaderMB },
+			Budget: "the control machine's", Mechanism: "stands"},
+		{Role: "leader", Name: "open files", By: []Load{Workers}, Digits: 0, Of: func(r *scale.Result) float64 { return float64(r.LeaderSockets) },
+			Budget: "20,000 a process here", Mechanism: "stands for a region; members that answer workers: missing"},
+		{Role: "leader", Name: "longest hold of the loop, ms", By: workersStarts, Digits: 0, Of: func(r *scale.Result) float64 { return r.LongestHoldMs },
+			Budget: "250 (urgent work within 1 s)", Mechanism: "passes that look at what they weigh: chosen now; an index over machines: missing"},
+		{Role: "leader", Name: "urgent work, submission to start, p99 ms", By: workersStarts, Digits: 0, Of: func(r *scale.Result) float64 { return float64(r.UrgentP99) },
+			Budget: "1,000", Mechanism: "as the row before"},
+		{Role: "member", Name: "processor, cores", By: workersStarts, Digits: 3, Of: func(r *scale.Result) float64 { return r.MemberCores },
+			Budget: "1 core", Mechanism: "stands idle: members that answer workers: missing"},
+		{Role: "member", Name: "memory, MB", By: workersStarts, Digits: 0, Of: func(r *scale.Result) float64 { return r.MemberMB },
+			Budget: "the control machine's", Mechanism: "stands"},
+		{Role: "state service", Name: "requests/s", By: []Load{Jobs}, Digits: 0, Of: func(r *scale.Result) float64 { return r.StateRPS },
+			Budget: "1,000 in the runs", Mechanism: "stands"},
+		{Role: "state service", Name: "changes/s", By: []Load{Jobs}, Digits: 0, Of: func(r *scale.Result) float64 { return r.StateWrites },
+			Budget: "400 in the runs, of which a leader takes 200", Mechanism: "records of finished tasks wait once each: chosen now"},
+		{Role: "workers", Name: "reports/s", By: workersStarts, Digits: 0, Of: func(r *scale.Result) float64 { return r.Reports },
+			Budget: "", Mechanism: "stands"},
+		{Role: "workers", Name: "bytes/s of all, KB", By: workersStarts, Digits: 0, Of: func(r *scale.Result) float64 { return r.WorkerBytes * float64(r.Machines) / 1000 },
+			Budget: "9 KB/s for each worker", Mechanism: "stands"},
+	}
+}
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -26,6 +26,34 @@
 	return w.at.compare(v.at) < 0
 }
 
+// stoppable is what the attempts on a node have in common that might be stopped at all. It only ever says that none of
+// them may be stopped for a want: attempts that are stopped stay counted.
+type stoppable struct {
+	any  bool
+	rank model.Rank // the lowest
+	over bool       // one runs beyond its team's guarantee
+	last standing   // of the one that stands last
+}
+
+func (s *stoppable) add(v *Running) {
+	if v.Rank == model.Production {
+		return
+	}
+	if !s.any || v.Rank < s.rank {
+		s.rank = v.Rank
+	}
+	if !s.any || s.last.compare(v.at) < 0 {
+		s.last = v.at
+	}
+	s.any, s.over = true, s.over || v.Over
+}
+
+// may tells whether any of the attempts might be stopped for a want; mayStop decides on each. Guards against a look at
+// all that runs on thousands of machines for each of the wants in whose favour nothing may be stopped.
+func (s *stoppable) may(w *Want) bool {
+	return s.any && (s.rank < w.Job.Rank || w.Guaranteed && s.over) && w.at.compare(s.last) < 0
+}
+
 // preempt makes room for tasks that fit nowhere: first it claims what is being
 // freed already, then it stops what loses least among the attempts that may be
 // stopped for this want. It tells for how many tasks it has found room.
@@ -53,12 +81,13 @@
 		return 0
 	}
 	// What could make way is worked out once a machine, and anew where it changes.
-	var may []candidate
+	may := p.candidates[:0]
 	for _, nd := range p.Nodes {
 		if nd.never(w.Job, w.Rules, lock) == Fits && st.takes(nd, spec) {
 			may = append(may, candidate{nd: nd})
 		}
 	}
+	p.candidates = may
 	found := 0
 	for ; lack > 0; lack-- {
 		var best *candidate
@@ -125,7 +154,7 @@
 	nd, spec := c.nd, w.Job.Spec
 	free := nd.Free.Add(nd.Freeing).Sub(nd.claimed)
 	c.known, c.free, c.ok, c.set = true, spec.Need.Fits(free), false, nil
-	if c.free {
+	if c.free || !nd.stops.may(w) {
 		return
 	}
 	if c.set, c.loss, c.ok = victims(nd, w, free, stops); !c.ok {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -65,6 +65,7 @@
 	Victims []Running
 	claimed model.Resources // of Freeing, promised to wants that go first
 	looked  bool            // what runs on it is filled in
+	stops   stoppable       // what its victims have in common
 }
 
 // Want is a number of tasks of one job that wait.
@@ -178,8 +179,9 @@
 	RulesOf func(j *model.Job) *Rules // of a job that runs; nil: none has any
 	Look    func(nd *Node)            // fills in what runs on a node; called once for each that could make room
 
-	short shorts
-	kinds []*Node // one node of each kind of machine; nil: not looked for yet
+	short      shorts
+	kinds      []*Node     // one node of each kind of machine; nil: not looked for yet
+	candidates []candidate // room for those of one want
 }
 
 // look has a node show what runs on it.
@@ -192,7 +194,9 @@
 		p.Look(nd)
 	}
 	for i := range nd.Victims {
-		nd.Victims[i].at = nd.Victims[i].standing()
+		v := &nd.Victims[i]
+		v.at = v.standing()
+		nd.stops.add(v)
 	}
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -103,13 +103,14 @@
 		hold := func(nd *Node, n int) {
 			for range n {
 				j := model.NewJob(&model.Spec{ID: fmt.Sprintf("%s-%d", nd.Machine.Name, nd.Machine.Holding), Shape: model.Service, Tasks: 1, Need: model.Resources{CPU: 1, MemGB: 1}, Image: "img"}, time.Unix(0, 0), 1)
-				a := &model.Attempt{Task: model.TaskID{Job: j.Spec.ID}, Job: j, Machine: nd.Machine, Need: j.Spec.Need, State: model.Present, Phase: model.Running, RunningAt: time.Unix(1, 0)}
+				a := &model.Attempt{Task: model.TaskID{Job: j.Spec.ID}, Job: j, Machine: nd.Machine, Need: j.Spec.Need, Use: &model.Usage{}, Phase: model.Running, RunningAt: time.Unix(1, 0)}
+				a.Set(model.Present)
 				j.Live[0] = a
 				if nd.Machine.Rows == nil {
 					nd.Machine.Rows = map[model.AttemptKey]*model.Attempt{}
 				}
 				nd.Machine.Rows[model.AttemptKey{Task: a.Task}] = a
-				nd.Machine.Used, nd.Free, nd.Machine.Holding = nd.Machine.Used.Add(a.Need), nd.Free.Sub(a.Need), nd.Machine.Holding+1
+				nd.Free = nd.Free.Sub(a.Need)
 			}
 			nd.Machine.Images["img"] = time.Unix(1, 0)
 		}
--- a/internal/sched/vacate.go
+++ b/internal/sched/vacate.go
@@ -38,10 +38,7 @@
 // movable tells whether all that is on a machine are replicas of services that run whole and have
 // run for long enough.
 func movable(s *Settings, now time.Time, m *model.Machine) bool {
-	for _, a := range m.Rows {
-		if !a.Holds() {
-			continue
-		}
+	for _, a := range m.Held() {
 		j := a.Job
 		if j == nil || j.Spec.Shape != model.Service || len(j.Live) < j.Spec.Tasks || j.Spec.OneZone && j.Spec.Tasks > 1 ||
 			a.State != model.Present || a.Phase != model.Running || now.Sub(a.RunningAt) < s.MinRun {
@@ -54,12 +51,7 @@
 // vacate finds room for all that is on a machine, and tells which replica goes first; nil: there
 // is not room for all.
 func (p *Picture) vacate(from *Node) *model.Attempt {
-	var list []*model.Attempt
-	for _, a := range from.Machine.Rows {
-		if a.Holds() {
-			list = append(list, a)
-		}
-	}
+	list := slices.Clone(from.Machine.Held())
 	slices.SortFunc(list, func(a, b *model.Attempt) int {
 		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
 	})
