Consolidation looks through the machines that hold the image, once for each job

Change: which machines hold an image is found out once in a pass; of those, what has room for a job is found once for the job. The same for emptying machines. One test goes on with a new picture where it brings an image in between passes.

--- a/internal/sched/look_test.go
+++ b/internal/sched/look_test.go
@@ -154,3 +154,80 @@
 		}
 	})
 }
+
+// Looking through the machines with the image finds the replica to move that a look at all machines for each replica finds.
+func TestConsolidatingFindsWhatALookAtAllMachinesFinds(t *testing.T) {
+	set := Settings{Dear: 2, MinRun: 30 * time.Second}
+	now, moves := time.Unix(1000, 0), 0
+	rapid.Check(t, func(t *rapid.T) {
+		d := drawPicture(t)
+		p := d.picture(false)
+		for _, w := range p.Wants {
+			j := w.Job
+			j.Spec.Shape = model.Service
+			for i := range j.Spec.Tasks {
+				m := rapid.SampledFrom(d.machines).Draw(t, "on")
+				a := &model.Attempt{Task: model.TaskID{Job: j.Spec.ID, Index: i}, Job: j, Machine: m, Need: j.Spec.Need, Use: &model.Usage{}, Phase: model.Running,
+					RunningAt: now.Add(-time.Duration(rapid.IntRange(25, 300).Draw(t, "ran")) * time.Second)}
+				a.Set(model.Present)
+				j.Live[i] = a
+			}
+			got, want := Consolidate(&set, now, p, j), consolidateByAll(&set, now, p, j)
+			if got != want {
+				t.Fatalf("%s: moves %v, looking at all machines %v", j.Spec.ID, got, want)
+			}
+			if got != nil {
+				moves++
+			}
+		}
+	})
+	if moves == 0 {
+		t.Error("nothing was ever to move")
+	}
+}
+
+// consolidateByAll is Consolidate with a look at all machines for each replica, as it was.
+func consolidateByAll(s *Settings, now time.Time, p *Picture, j *model.Job) *model.Attempt {
+	spec := j.Spec
+	if spec.Shape != model.Service || len(j.Live) < spec.Tasks || spec.OneZone && spec.Tasks > 1 {
+		return nil
+	}
+	dear := p.dearer(spec, nil, s.Dear)
+	zones := map[string]int{}
+	var off, lone []*model.Attempt
+	for i := range spec.Tasks {
+		a := j.Live[i]
+		if a.State != model.Present || a.Phase != model.Running || now.Sub(a.RunningAt) < s.MinRun {
+			return nil
+		}
+		zones[a.Machine.Zone]++
+		if rate(a.Machine) > dear {
+			off = append(off, a)
+		} else if a.Machine.Holding == 1 {
+			lone = append(lone, a)
+		}
+	}
+	takes := func(a *model.Attempt, nd *Node) bool {
+		room := zones[nd.Machine.Zone]
+		if nd.Machine.Zone == a.Machine.Zone {
+			room--
+		}
+		return nd.Machine != a.Machine && nd.hasImage(spec) && nd.never(j, nil, "") == Fits && spec.Need.Fits(nd.Free) && room < zoneCap(spec, nil)
+	}
+	for _, a := range off {
+		for _, nd := range p.Nodes {
+			if rate(nd.Machine) <= dear && takes(a, nd) {
+				return a
+			}
+		}
+	}
+	for _, a := range lone {
+		for _, nd := range p.Nodes {
+			c := cmp.Or(cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)), cmp.Compare(a.Machine.Name, nd.Machine.Name))
+			if c > 0 && rate(nd.Machine) <= rate(a.Machine) && takes(a, nd) {
+				return a
+			}
+		}
+	}
+	return nil
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -180,6 +180,7 @@
 	Look    func(nd *Node)            // fills in what runs on a node; called once for each that could make room
 
 	short      shorts
+	byImage    map[string][]*Node
 	kinds      []*Node     // one node of each kind of machine; nil: not looked for yet
 	candidates []candidate // room for those of one want
 }
@@ -376,64 +377,6 @@
 	return u
 }
 
-// Consolidate finds a replica that sits on a dear machine although a cheap one has
-// room and its image, or that keeps a machine to itself although a busier one that is
-// no dearer has: the paper's consolidation, for when nothing waits that room would
-// help. The move costs a moment, since nothing has to be fetched. A replica that has
-// only just begun stays. It returns nil if there is none.
-func Consolidate(s *Settings, now time.Time, p *Picture, j *model.Job) *model.Attempt {
-	spec := j.Spec
-	if spec.Shape != model.Service || len(j.Live) < spec.Tasks || spec.OneZone && spec.Tasks > 1 {
-		return nil
-	}
-	var rules *Rules
-	if p.RulesOf != nil {
-		rules = p.RulesOf(j)
-	}
-	dear := p.dearer(spec, rules, s.Dear)
-	zones := map[string]int{}
-	var off, lone []*model.Attempt
-	for _, a := range j.Live {
-		if a.State != model.Present || a.Phase != model.Running || now.Sub(a.RunningAt) < s.MinRun {
-			return nil // one at a time
-		}
-		zones[a.Machine.Zone]++
-		if rate(a.Machine) > dear {
-			off = append(off, a)
-		} else if a.Machine.Holding == 1 {
-			lone = append(lone, a)
-		}
-	}
-	takes := func(a *model.Attempt, nd *Node) bool {
-		room := zones[nd.Machine.Zone]
-		if nd.Machine.Zone == a.Machine.Zone {
-			room--
-		}
-		return nd.Machine != a.Machine && nd.hasImage(spec) && nd.never(j, rules, "") == Fits && spec.Need.Fits(nd.Free) &&
-			room < zoneCap(spec, rules) && !rules.machineFull(nd.Machine)
-	}
-	byIndex := func(a, b *model.Attempt) int { return cmp.Compare(a.Task.Index, b.Task.Index) }
-	slices.SortFunc(off, byIndex)
-	slices.SortFunc(lone, byIndex)
-	for _, a := range off {
-		for _, nd := range p.Nodes {
-			if rate(nd.Machine) <= dear && takes(a, nd) {
-				return a
-			}
-		}
-	}
-	for _, a := range lone {
-		for _, nd := range p.Nodes {
-			// Busier, or as busy and first by name: two that are alone don't swap.
-			c := cmp.Or(cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)), cmp.Compare(a.Machine.Name, nd.Machine.Name))
-			if c > 0 && rate(nd.Machine) <= rate(a.Machine) && takes(a, nd) {
-				return a
-			}
-		}
-	}
-	return nil
-}
-
 // Make decides one pass.
 func Make(s *Settings, p *Picture) *Plan {
 	plan := &Plan{}
@@ -559,44 +502,6 @@
 	return m.Type.Price / m.Type.Cap.CPU
 }
 
-// dearer is the rate above which a machine counts as dear for a job: a factor
-// over the cheapest one that it may use.
-func (p *Picture) dearer(spec *model.Spec, rules *Rules, factor float64) float64 {
-	nodes := p.Nodes
-	if rules == nil {
-		nodes = p.machineKinds() // without rules nothing else tells machines of a kind apart
-	}
-	least := 0.0
-	for _, nd := range nodes {
-		if r := rate(nd.Machine); nd.may(spec, rules, "") == Fits && (least == 0 || r < least) {
-			least = r
-		}
-	}
-	return least * factor
-}
-
-// machineKinds finds one node of each type, zone and kind of machine. Guards against a look at all machines for each
-// service and each replica.
-func (p *Picture) machineKinds() []*Node {
-	if p.kinds != nil {
-		return p.kinds
-	}
-	type kind struct {
-		of   *model.MachineType
-		zone string
-		spot bool
-	}
-	seen := map[kind]bool{}
-	for _, nd := range p.Nodes {
-		k := kind{nd.Machine.Type, nd.Machine.Zone, nd.Machine.Spot}
-		if !seen[k] {
-			seen[k] = true
-			p.kinds = append(p.kinds, nd)
-		}
-	}
-	return p.kinds
-}
-
 // zones lists the zones that machines are in: what has to be in one zone may be in any of them,
 // whether the settings name it or not.
 func (p *Picture) zones() []string {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -398,6 +398,7 @@
 		t.Error("moved to a machine that would have to fetch its image")
 	}
 	to.Machine.Images["img"] = time.Unix(1, 0)
+	p = picture([]*Node{from, to}) // of another pass: a pass finds out once where images are
 	if got := Consolidate(set, later, p, w.Job); got != a {
 		t.Errorf("moves %v", got)
 	}
--- a/internal/sched/vacate.go
+++ b/internal/sched/vacate.go
@@ -83,8 +83,8 @@
 // target is the busiest machine that takes a replica.
 func (p *Picture) target(from *Node, a *model.Attempt, rules *Rules, zones map[string]int, taken map[*Node]model.Resources) *Node {
 	var best *Node
-	for _, nd := range p.Nodes {
-		if nd == from || !a.Need.Fits(nd.Free.Sub(taken[nd])) || !nd.hasImage(a.Job.Spec) || rate(nd.Machine) > rate(from.Machine) || nd.never(a.Job, rules, "") != Fits {
+	for _, nd := range p.withImage(a.Job.Spec.Image) {
+		if nd == from || !a.Need.Fits(nd.Free.Sub(taken[nd])) || rate(nd.Machine) > rate(from.Machine) || nd.never(a.Job, rules, "") != Fits {
 			continue
 		}
 		if share(nd.Machine, nd.Machine.Used) <= share(from.Machine, from.Machine.Used) || zones[nd.Machine.Zone] >= zoneCap(a.Job.Spec, rules) || rules.machineFull(nd.Machine) {
