Machines are judged by kind; what ends soon is asked for where tasks may go

Change: what a want asks of a type, zone and price is judged once a kind of machine, in passes and in renting; what ends soon on a machine is worked out where tasks may go there. What is kept for a beginning goes by the zones' names where two are alike: the property test found that a pass could decide this way or that way.

--- a/internal/control/pass.go
+++ b/internal/control/pass.go
@@ -191,18 +191,8 @@
 			out = append(out, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot})
 			continue
 		}
-		if m.Unsure || !c.placeable(now, m) {
-			continue
-		}
-		var soon model.Resources
-		for _, a := range m.Held() {
-			if a.Job != nil && c.endsSoon(now, a) {
-				soon = soon.Add(a.Need)
-			}
-		}
-		if soon != (model.Resources{}) {
-			soon = soon.Add(m.Free())
-			out = append(out, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Soon: &soon})
+		if !m.Unsure && m.Holding > 0 && c.placeable(now, m) {
+			out = append(out, &fleet.Coming{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Soon: func() model.Resources { return c.soon(now, m) }})
 		}
 	}
 	for _, r := range c.renting {
@@ -213,6 +203,21 @@
 	return out
 }
 
+// soon is what is likely free on a machine within a boot time: none of it where nothing ends, since what is free now
+// has been weighed already.
+func (c *Core) soon(now time.Time, m *model.Machine) model.Resources {
+	var soon model.Resources
+	for _, a := range m.Held() {
+		if a.Job != nil && c.endsSoon(now, a) {
+			soon = soon.Add(a.Need)
+		}
+	}
+	if soon == (model.Resources{}) {
+		return soon
+	}
+	return soon.Add(m.Free())
+}
+
 // endsSoon tells whether an attempt has likely ended by the time that a machine
 // like its own would be up.
 func (c *Core) endsSoon(now time.Time, a *model.Attempt) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,10 +45,24 @@
 	Type *model.MachineType
 	Zone string
 	Spot bool
-	Soon *model.Resources // of a machine that is up; nil: the whole machine
-	free model.Resources
-	by   *sched.Want // the last one that it was filled with
-	of   int         // and how many tasks of it
+	Soon func() model.Resources // of a machine that is up, asked for once where tasks may go there; nil: the whole machine
+
+	free  model.Resources
+	known bool        // free is
+	kind  int         // its kind's number
+	by    *sched.Want // the last one that it was filled with
+	of    int         // and how many tasks of it
+}
+
+// room is what is left of it.
+func (c *Coming) room() model.Resources {
+	if !c.known {
+		c.known = true
+		if c.free = c.Type.Cap; c.Soon != nil {
+			c.free = c.Soon()
+		}
+	}
+	return c.free
 }
 
 // Idle tells whether a machine that has been empty for some time is to be given
@@ -85,6 +99,41 @@
 	Quiet   map[string]bool                            // zones that are likely cut off: what comes up there cannot report
 	ForGPU  func(t *model.MachineType, spot bool) bool // machines that are kept for GPU work
 	Room    func(w *sched.Want, zone string) int       // how many tasks fit on what is up in a zone; nil: none
+
+	kinds   []kindOfMachine // of what is coming, by number
+	judged  *sched.Want     // whom the kinds were judged for last
+	verdict []bool          // by kind: whether its tasks may go there
+}
+
+// kindOfMachine is a type, ordinary or spot, in a zone, as a machine that is up or as one that is coming.
+type kindOfMachine struct {
+	of       *model.MachineType
+	zone     string
+	spot, up bool
+}
+
+// number gives what is coming the number of its kind.
+func (v *View) number(c *Coming) {
+	k := kindOfMachine{c.Type, c.Zone, c.Spot, c.Soon != nil}
+	if c.kind = slices.Index(v.kinds, k); c.kind < 0 {
+		c.kind = len(v.kinds)
+		v.kinds = append(v.kinds, k)
+	}
+}
+
+// may tells whether tasks of a want may go to what is coming, whatever room it has. It is judged once a kind for each
+// want. Guards against judging thousands of machines for each of hundreds of wants.
+func (v *View) may(w *sched.Want, c *Coming) bool {
+	if v.judged != w {
+		v.judged, v.verdict = w, v.verdict[:0]
+	}
+	for len(v.verdict) < len(v.kinds) {
+		k := v.kinds[len(v.verdict)]
+		spec := w.Job.Spec
+		v.verdict = append(v.verdict, !(w.Urgent() && k.up) && (spec.Spot || !k.spot) && spec.Need.Fits(k.of.Cap) && spec.AllowsType(k.of.Name) &&
+			(spec.Zone == "" || spec.Zone == k.zone) && !v.keeps(w.Job, k.of, k.spot) && w.Rules.Offer(k.of, k.zone, k.spot))
+	}
+	return v.verdict[c.kind]
 }
 
 // price is what one task costs an hour on a machine of the type, if the
@@ -108,10 +157,10 @@
 // Guards against renting in the middle of a cut right where nothing can report, since
 // that zone seems to have the fewest machines.
 func Rent(s *Settings, now time.Time, v *View, lacking []sched.Shortage) []Ask {
+	v.kinds, v.judged = nil, nil
 	for _, c := range v.Coming {
-		if c.free = c.Type.Cap; c.Soon != nil {
-			c.free = *c.Soon
-		}
+		c.known = false
+		v.number(c)
 	}
 	var asks []Ask
 	full := fulls{}
@@ -139,7 +188,8 @@
 			}
 			per = min(per, l.Want.PerMachine())
 			t := typeOf(v.Types, best.Type)
-			c := &Coming{Type: t, Zone: best.Zone, Spot: best.Spot, free: t.Cap}
+			c := &Coming{Type: t, Zone: best.Zone, Spot: best.Spot, free: t.Cap, known: true}
+			v.number(c)
 			v.Coming = append(v.Coming, c)
 			v.Count[best.Zone]++
 			k := 0
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -116,7 +116,7 @@
 
 func TestNothingIsRentedForWhatIsComing(t *testing.T) {
 	v := view()
-	v.Coming = []*Coming{{Type: &types[0], Zone: "a"}, {Type: &types[0], Zone: "b", Soon: &model.Resources{CPU: 2, MemGB: 6}}}
+	v.Coming = []*Coming{{Type: &types[0], Zone: "a"}, {Type: &types[0], Zone: "b", Soon: func() model.Resources { return model.Resources{CPU: 2, MemGB: 6} }}}
 	if asks := Rent(set, time.Unix(0, 0), v, lacking(3, nil)); len(asks) != 0 {
 		t.Errorf("asked for %v", asks)
 	}
@@ -161,3 +161,22 @@
 		t.Errorf("for a job that is bound to it: asked for %v", asks)
 	}
 }
+
+// Guards against working out what ends soon on every machine that is up, five times a second: it is asked for once, and
+// only of machines on which what is lacking may run.
+func TestWhatEndsSoonIsAskedForOnlyWhereTasksMayGo(t *testing.T) {
+	v := view()
+	asked := map[string]int{}
+	machine := func(name, zone string) *Coming {
+		return &Coming{Type: &types[0], Zone: zone, Soon: func() model.Resources {
+			asked[name]++
+			return model.Resources{}
+		}}
+	}
+	v.Coming = []*Coming{machine("other zone", "b"), machine("another zone too", "b"), machine("full", "a")}
+	inA := func(s *model.Spec) { s.Zone = "a" }
+	Rent(set, time.Unix(0, 0), v, append(lacking(3, inA), lacking(2, inA)...))
+	if len(asked) != 1 || asked["full"] != 1 {
+		t.Errorf("asked: %v", asked)
+	}
+}
--- a/internal/fleet/onezone.go
+++ b/internal/fleet/onezone.go
@@ -84,7 +84,7 @@
 	n := 0
 	for _, c := range v.Coming {
 		if c.Zone == zone && v.takes(w, c) {
-			n += min(w.Job.Spec.Need.CountIn(c.free), w.PerMachine())
+			n += min(w.Job.Spec.Need.CountIn(c.room()), w.PerMachine())
 		}
 	}
 	return n
@@ -92,9 +92,7 @@
 
 // takes tells whether tasks of a want may go to what is coming, and one of them fits.
 func (v *View) takes(w *sched.Want, c *Coming) bool {
-	spec := w.Job.Spec
-	return !(w.Urgent() && c.Soon != nil) && (spec.Spot || !c.Spot) && spec.Need.Fits(c.free) && spec.AllowsType(c.Type.Name) &&
-		(spec.Zone == "" || spec.Zone == c.Zone) && !v.keeps(w.Job, c.Type, c.Spot) && w.Rules.Offer(c.Type, c.Zone, c.Spot)
+	return v.may(w, c) && w.Job.Spec.Need.Fits(c.room())
 }
 
 // keeps tells whether a kind of machine is kept for GPU work, which a job is not.
--- a/internal/sched/begin.go
+++ b/internal/sched/begin.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/glentiller/glentiller/internal/model"
@@ -62,7 +63,8 @@
 	room := func(nd *Node) float64 { return share(nd.Machine, nd.Free) }
 	var best []*Node
 	most := -1.0
-	for _, nodes := range byZone {
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) { // of zones alike the first by name: a pass decides the same each time
+		nodes := byZone[zone]
 		slices.SortFunc(nodes, func(a, b *Node) int {
 			return cmp.Or(cmp.Compare(room(b), room(a)), cmp.Compare(a.Machine.Name, b.Machine.Name))
 		})
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -18,8 +18,9 @@
 		return nil
 	}
 	var fits []*Node
+	usable := p.usable(w, zone, st)
 	for _, nd := range p.Nodes {
-		if spec.Need.Fits(nd.Free) && nd.never(w.Job, w.Rules, zone) == Fits && st.takes(nd, spec) {
+		if spec.Need.Fits(nd.Free) && usable(nd) {
 			fits = append(fits, nd)
 		}
 	}
--- a/internal/sched/look_test.go
+++ b/internal/sched/look_test.go
@@ -137,6 +137,29 @@
 	}
 }
 
+// What is judged by kind of machine is what a look at each machine says.
+func TestMachinesAreJudgedByKindAsOneByOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPicture(t).picture(false)
+		for _, nd := range p.Nodes {
+			nd.ForGPU = nd.Machine.Type.Cap.GPU > 0 && !nd.Machine.Spot
+		}
+		for _, w := range p.Wants {
+			if rapid.IntRange(0, 2).Draw(t, "failed somewhere") == 0 {
+				w.Job.ErrorOn = map[string]int{rapid.SampledFrom(p.Nodes).Draw(t, "where").Machine.Name: 1}
+			}
+			zone := rapid.SampledFrom([]string{"", "x"}).Draw(t, "in")
+			st := stage{image: rapid.Bool().Draw(t, "with its image"), rate: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "rate"), fetch: rapid.SampledFrom([]float64{0, 1}).Draw(t, "fetch")}
+			usable := p.usable(w, zone, st)
+			for _, nd := range p.Nodes {
+				if got, want := usable(nd), nd.never(w.Job, nil, zone) == Fits && st.takes(nd, w.Job.Spec); got != want {
+					t.Fatalf("%s on %s: %v, one by one %v", w.Job.Spec.ID, nd.Machine.Name, got, want)
+				}
+			}
+		}
+	})
+}
+
 // The cheapest rate by kind of machine is the cheapest of all machines.
 func TestTheCheapestKindIsTheCheapestMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -81,9 +81,9 @@
 		return 0
 	}
 	// What could make way is worked out once a machine, and anew where it changes.
-	may := p.candidates[:0]
+	may, usable := p.candidates[:0], p.usable(w, lock, st)
 	for _, nd := range p.Nodes {
-		if nd.never(w.Job, w.Rules, lock) == Fits && st.takes(nd, spec) {
+		if usable(nd) {
 			may = append(may, candidate{nd: nd})
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -64,6 +64,7 @@
 	Class   int             // its class of machines, where a want has rules
 	Victims []Running
 	claimed model.Resources // of Freeing, promised to wants that go first
+	kind    int             // its kind's number
 	looked  bool            // what runs on it is filled in
 	stops   stoppable       // what its victims have in common
 }
@@ -477,7 +478,12 @@
 }
 
 func (st stage) takes(nd *Node, spec *model.Spec) bool {
-	return (!st.image || nd.hasImage(spec)) && (st.rate == 0 || rate(nd.Machine) <= st.rate) && nd.Machine.Type.FetchGBPerS >= st.fetch
+	return (!st.image || nd.hasImage(spec)) && st.takesKind(nd)
+}
+
+// takesKind judges what machines of a kind have in common.
+func (st stage) takesKind(nd *Node) bool {
+	return (st.rate == 0 || rate(nd.Machine) <= st.rate) && nd.Machine.Type.FetchGBPerS >= st.fetch
 }
 
 // fetch is how many GB a second a machine without the image has to fetch for the want to start
