--- /dev/null
+++ b/internal/node/effects.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"github.com/glentiller/glentiller/internal/budget"
+	"github.com/glentiller/glentiller/internal/control"
+	"github.com/glentiller/glentiller/internal/election"
+	"github.com/glentiller/glentiller/internal/ledger"
+	"github.com/glentiller/glentiller/internal/model"
+	"github.com/glentiller/glentiller/internal/store"
+)
+
+// The leading core's effects, and the changes and answers that are handed back to it.
+
+// step hands an event to the core, if this controller may act.
+func (n *Node) step(now time.Time, ev control.Event) []control.Effect {
+	if n.core == nil {
+		return nil
+	}
+	n.event = ev
+	effects := n.core.Step(now, ev)
+	for _, e := range effects {
+		n.perform(now, e)
+	}
+	return effects
+}
+
+// back hands the answer to an effect to the core of the same leadership.
+func (n *Node) back(term uint64, ev control.Event) {
+	n.post(func(now time.Time) {
+		if n.term == term {
+			n.step(now, ev)
+		}
+	})
+}
+
+// perform carries out one effect. Whoever needs the right to act has it checked
+// right before the request leaves.
+func (n *Node) perform(now time.Time, e control.Effect) {
+	term, r := n.term, n.right.Load()
+	if r == nil {
+		return
+	}
+	may := func() bool { cur := n.right.Load(); return cur != nil && cur.token == r.token && cur.holds() }
+	switch e := e.(type) {
+	case control.Command:
+		orders := append([]model.Order(nil), e.Orders...)
+		n.spawn(func() {
+			ev := control.CommandBack{Machine: e.Machine, Session: e.Session, Orders: orders, Outcome: control.NotSent}
+			if may() {
+				reply := n.workers.Commands(e.Addr, r.token, e.Session, orders)
+				ev.Report = reply.Report
+				switch {
+				case reply.Executed:
+					ev.Outcome = control.OK
+				case errors.Is(reply.Err, budget.ErrFull):
+					// Nothing is known of the machine.
+				case reply.NotSent:
+					ev.Outcome = control.Refused
+				default:
+					ev.Outcome = control.Unknown
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.Rent:
+		n.spawn(func() {
+			ev := control.RentBack{Rental: e.Rental, Outcome: control.Unknown}
+			if n.cloud.Wait(n.ctx) == nil && may() && n.mayRent() {
+				names, full, err := n.cloud.Rent(e.Rental)
+				switch {
+				case full:
+					ev.Outcome = control.Refused
+				case err == nil:
+					ev.Outcome, ev.Machines = control.OK, names
+				default:
+					n.log.Debug("rental not answered", "request", e.Rental.Name, "err", err)
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.Return:
+		names := append([]string(nil), e.Machines...)
+		n.spawn(func() {
+			ev := control.ReturnBack{Machines: names, Outcome: control.Unknown}
+			if n.cloud.Wait(n.ctx) == nil && may() && n.mayRent() {
+				if err := n.cloud.Return(names); err == nil {
+					ev.Outcome = control.OK
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.List:
+		n.spawn(func() {
+			asked := time.Now()
+			list, err := n.cloud.List(n.ctx)
+			if err != nil {
+				n.log.Debug("machine list", "err", err)
+			}
+			n.back(term, control.ListIn{Machines: list, Asked: asked})
+		})
+	case control.Catalog:
+		n.spawn(func() {
+			types, err := n.cloud.Catalog(n.ctx)
+			if err != nil {
+				n.log.Debug("catalogue", "err", err)
+			} else {
+				n.types.Store(&types)
+			}
+			n.back(term, control.CatalogIn{Types: types})
+		})
+	case control.LookUp:
+		n.spawn(func() { n.back(term, control.EndsIn{Ends: n.jobs.Ends(n.ctx, e.IDs)}) })
+	case control.Commit:
+		saves := append([]control.Save(nil), e.Saves...)
+		n.spawn(func() {
+			ev := control.SaveBack{Saves: saves, Outcome: control.OK}
+			rev, ok, err := n.state.Save(n.ctx, r.version, saves)
+			ev.Version = rev
+			switch {
+			case errors.Is(err, store.ErrRejected):
+				ev.Outcome = control.Rejected
+				n.log.Error("the state service rejects records", "keys", store.Keys(saves), "err", err)
+			case errors.Is(err, store.ErrNotExecuted):
+				ev.Outcome = control.NotSent
+			case err != nil:
+				ev.Outcome = control.Unknown
+			case !ok:
+				ev.Outcome = control.Refused
+				if last, err := n.state.StillLast(n.ctx, r.version); err != nil {
+					ev.Outcome = control.Unknown
+				} else if !last {
+					n.election(election.Fenced{Token: r.token})
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.Fence:
+		n.spawn(func() {
+			v, ok, err := n.state.Rewrite(n.ctx, n.plat.Member, r.token, r.version)
+			if err != nil {
+				n.log.Debug("fence", "err", err)
+				n.back(term, control.FenceBack{Outcome: control.Unknown})
+				return
+			}
+			if !ok {
+				n.election(election.Fenced{Token: r.token})
+				return
+			}
+			n.log.Info("transactions without an answer are void", "token", r.token, "version", v)
+			n.post(func(now time.Time) {
+				if n.term == term {
+					n.elected(now, n.elect.Step(now, election.Rewritten{Token: r.token, Version: v}))
+					n.step(now, control.FenceBack{Outcome: control.OK})
+				}
+			})
+		})
+	case control.ReadAccounts:
+		n.spawn(func() {
+			ev := control.AccountsIn{Accounts: map[string]ledger.OnRecord{}}
+			for _, team := range e.Teams {
+				if r, err := n.state.Account(n.ctx, team); err == nil {
+					ev.Accounts[team] = r
+				} else {
+					n.log.Debug("account in doubt", "team", team, "err", err)
+				}
+			}
+			n.back(term, ev)
+		})
+	case control.ReadPages:
+		n.spawn(func() {
+			pages, _, err := n.state.Pages(n.ctx, e.Team, 0, control.OldestPages)
+			if err != nil {
+				n.log.Debug("closed pages", "team", e.Team, "err", err)
+			}
+			n.back(term, control.PagesIn{Team: e.Team, Pages: pages})
+		})
+	}
+}
+
+// mayRent tells that the right rests on the lease: on promises alone nothing is rented or
+// given back, since nothing of it could be put on record.
+func (n *Node) mayRent() bool {
+	r := n.right.Load()
+	return r != nil && !r.onPromises(time.Now())
+}
+
+// jobsChanged queues changes of the job records for the loop. The view is locked
+// while it tells of them, and the loop asks it: so nothing is waited for here.
+func (n *Node) jobsChanged(changes []store.JobChange) {
+	if len(changes) == 0 {
+		return
+	}
+	n.changeMu.Lock()
+	n.changes = append(n.changes, changes...)
+	n.changeMu.Unlock()
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// applyChanges tells the core of changes of the job records.
+func (n *Node) applyChanges(now time.Time) {
+	n.changeMu.Lock()
+	changes := n.changes
+	n.changes = nil
+	n.changeMu.Unlock()
+	for _, ch := range changes {
+		n.step(now, n.jobs.Event(ch))
+	}
+}
+
+// fetchTypes keeps the machine types known, which users' requests are checked
+// against.
+func (n *Node) fetchTypes() error {
+	for n.ctx.Err() == nil {
+		wait := time.Second
+		if len(n.Types()) > 0 {
+			wait = 5 * time.Minute
+		}
+		if types, err := n.cloud.Catalog(n.ctx); err == nil {
+			n.types.Store(&types)
+			wait = 5 * time.Minute
+		} else {
+			n.log.Debug("catalogue", "err", err)
+		}
+		store.Wait(n.ctx, wait)
+	}
+	return nil
+}
