--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -41,7 +41,7 @@
 
 	Slow func() time.Duration                                  // until the state service answers a leader; nil: none
 	Net  func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction; !ok: nothing
-	Ear  Ear                                                   // nil: nobody listens
+	Observer  Observer                                                   // nil: nobody listens
 
 	Apart bool // controllers do not reach each other
 
@@ -89,8 +89,8 @@
 	Lost            // not answered, and never arrives
 )
 
-// Ear is told what passes between controllers and the stand-ins.
-type Ear interface {
+// Observer is told what passes between controllers and the stand-ins.
+type Observer interface {
 	// Taken: a leader takes a worker's message.
 	Taken(c *Controller, token uint64, r *model.Report)
 	// Sent: a transaction leaves a controller, now or once more.
@@ -168,8 +168,8 @@
 		return nil, context.DeadlineExceeded
 	}
 	if uri == "/commit" {
-		if c.w.Ear != nil {
-			c.w.Ear.Sent(Ops(body))
+		if c.w.Observer != nil {
+			c.w.Observer.Sent(Ops(body))
 		}
 		if c.w.Net != nil {
 			if err, ok := c.w.Net(c, body); ok {
@@ -704,13 +704,13 @@
 	if c.Core == nil {
 		return nil
 	}
-	if c.w.Ear != nil {
+	if c.w.Observer != nil {
 		switch ev := ev.(type) {
 		case control.ReportIn:
-			c.w.Ear.Taken(c, c.token, ev.Report)
+			c.w.Observer.Taken(c, c.token, ev.Report)
 		case control.CommandBack:
 			if ev.Report != nil {
-				c.w.Ear.Taken(c, c.token, ev.Report)
+				c.w.Observer.Taken(c, c.token, ev.Report)
 			}
 		}
 	}
--- a/internal/node/hands.go
+++ b/internal/node/forward.go
@@ -33,7 +33,7 @@
 	if until, ok := ctx.Deadline(); ok {
 		h.WaitMs = uint32(max(time.Until(until)-ahead, ahead).Milliseconds())
 	}
-	a, err := n.hands[member].Hand(ctx, h)
+	a, err := n.forwards[member].Hand(ctx, h)
 	switch {
 	case errors.Is(err, peer.ErrDialing):
 		return route.Answer{Cause: route.Busy}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,18 +39,18 @@
 	set     control.Settings
 	log     *slog.Logger
 
-	state   *store.Client
-	jobs    *store.Jobs
-	cloud   *cloud.Client
-	workers *worker.Client
-	front   *front.Server
-	peers   map[string]*peer.Client
-	hands   map[string]*peer.Client // for users' requests, so that a late one costs no promise
-	router  *route.Router           // nil: requests are answered where they come
-	relays  relays
-	sockets *budget.Budget
-	memory  *budget.Memory
-	teams   map[string]*model.Team
+	state    *store.Client
+	jobs     *store.Jobs
+	cloud    *cloud.Client
+	workers  *worker.Client
+	front    *front.Server
+	peers    map[string]*peer.Client
+	forwards map[string]*peer.Client // for users' requests, so that a late one costs no promise
+	router   *route.Router           // nil: requests are answered where they come
+	relays   relays
+	sockets  *budget.Budget
+	memory   *budget.Memory
+	teams    map[string]*model.Team
 
 	group  *errgroup.Group
 	ctx    context.Context
@@ -134,10 +134,10 @@
 	n.router = n.newRouter()
 	n.mail = newMail(n)
 	n.front = front.New(front.Settings{RetryAfter: o.Front.RetryAfter.D(), Conns: conns, Sockets: n.sockets, Rules: o.Constraints != nil, RulesNow: n.rulesNow(), Router: n.router}, n.jobs, n, time.Now, log)
-	n.peers, n.hands = map[string]*peer.Client{}, map[string]*peer.Client{}
+	n.peers, n.forwards = map[string]*peer.Client{}, map[string]*peer.Client{}
 	for _, m := range p.Members {
 		n.peers[m.Member] = peer.NewClient(m.Addr, n.sockets.Dial(budget.Peers))
-		n.hands[m.Member] = peer.NewClient(m.Addr, n.sockets.Dial(budget.Peers))
+		n.forwards[m.Member] = peer.NewClient(m.Addr, n.sockets.Dial(budget.Peers))
 	}
 	n.share(false)
 	return n
--- a/internal/rehearse/ledgerweek/audit.go
+++ b/internal/rehearse/ledgerweek/audit.go
@@ -51,7 +51,7 @@
 
 func newAudit(w *fake.World) *audit {
 	a := &audit{w: w, leaders: map[uint64]*heard{}, sent: map[settlement]Sum{}, known: map[settlement]bool{}, total: map[string]Sum{}, ended: map[string]uint64{}}
-	w.Ear, w.State.Carried = a, a.carried
+	w.Observer, w.State.Carried = a, a.carried
 	return a
 }
 
