--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,9 +39,9 @@
 	Keep        int          // ended jobs that a controller remembers
 	Rejected    []string     // records that the state service would not take
 
-	Slow func() time.Duration                                  // until the state service answers a leader; nil: none
-	Net  func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction; !ok: nothing
-	Observer  Observer                                                   // nil: nobody listens
+	Slow     func() time.Duration                                  // until the state service answers a leader; nil: none
+	Net      func(c *Controller, body []byte) (err error, ok bool) // what becomes of a transaction; !ok: nothing
+	Observer Observer                                              // nil: nobody listens
 
 	Apart bool // controllers do not reach each other
 
