rehearse scale: machines have names of their own over all regions

Cause: each region's cloud named its machines from the first on, so that the workers of all regions but one were overwritten: a run with five regions did not come up; its leaders heard nobody and handed over again and again. Change: a prefix by region.

--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -13,6 +13,7 @@
 	Boot     time.Duration        // how long a machine takes to come up
 	Boots    func() time.Duration // the same, drawn anew for each machine; nil: Boot
 	Capacity int                  // machines that the cloud has at once; 0: any number
+	Prefix   string               // of machines' names
 
 	up       func() int // machines that are up
 	rented   map[string][]string
@@ -27,7 +28,7 @@
 
 // NewCloud makes a cloud without machines; up counts those that have come up and were not given back.
 func NewCloud(up func() int) *Cloud {
-	return &Cloud{Boot: 5 * time.Second, up: up, rented: map[string][]string{}, booting: map[string]bootingMachine{}}
+	return &Cloud{Boot: 5 * time.Second, Prefix: "n-", up: up, rented: map[string][]string{}, booting: map[string]bootingMachine{}}
 }
 
 // Rent carries a request out, or tells what it has led to before. It is false where there is no machine left.
@@ -58,7 +59,7 @@
 // Name gives the next machine's name.
 func (c *Cloud) Name() string {
 	c.machines++
-	return fmt.Sprintf("n-%06d", c.machines)
+	return fmt.Sprintf("%s%06d", c.Prefix, c.machines)
 }
 
 // Up takes the machines whose boot has ended off the list of those that boot.
--- a/internal/rehearse/scale/scale_test.go
+++ b/internal/rehearse/scale/scale_test.go
@@ -96,6 +96,30 @@
 	}
 }
 
+// Guards against machines of two regions by one name: the workers of all but one were gone, and their leaders heard nobody.
+func TestMachinesHaveNamesOfTheirOwnOverAllRegions(t *testing.T) {
+	p := DefaultPlan()
+	w, err := newWorkers(&p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.close()
+	names := map[string]bool{}
+	for i := range 3 {
+		r, err := newRegion(&p, i, t.TempDir(), "none", w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.close()
+		for _, l := range machinesOf(r, w, 20) {
+			if names[l.Machine] {
+				t.Errorf("%s is in two regions", l.Machine)
+			}
+			names[l.Machine] = true
+		}
+	}
+}
+
 // Each region has its part of every limit, so that all together stay within it.
 func TestRegionsShareLimits(t *testing.T) {
 	p := DefaultPlan()
--- a/internal/rehearse/scale/standins.go
+++ b/internal/rehearse/scale/standins.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -227,6 +228,7 @@
 	s := &cloudServer{traffic: newTraffic(), region: r, workers: f}
 	s.cloud = fake.NewCloud(func() int { return f.in(r) })
 	s.cloud.Boot = bootTime
+	s.cloud.Prefix = fmt.Sprintf("n-%d-", r.number) // names are told apart over all regions
 	var l net.Listener
 	var err error
 	if s.http, l, err = serveLoopback(address, s.handle); err != nil {
