--- a/cmd/rehearse/scale.go
+++ b/cmd/rehearse/scale.go
@@ -13,23 +13,23 @@
 )
 
 type scaleCmd struct {
-	Plan        string   `placeholder:"FILE" help:"A plan (TOML) with the same names as the flags; flags that are given go before it."`
-	Workers     *int     `placeholder:"N" help:"Hollow workers over all regions (1000)."`
-	Regions     *int     `placeholder:"R" help:"Regions: deployments of their own, side by side (1)."`
-	Zones       *int     `placeholder:"Z" help:"Zones of each region (3)."`
-	Controllers *int     `placeholder:"C" help:"Controllers of each region, real processes (3)."`
-	Seconds     *int     `placeholder:"S" help:"Seconds that are measured, once the fleet is up (40)."`
-	Starts      *float64 `name:"starts-per-second" placeholder:"P" help:"Task starts a second that are asked for (a fortieth of the workers)."`
-	Teams       *int     `placeholder:"N" help:"Teams with limits (140)."`
-	Seed        *uint64  `placeholder:"N" help:"Of what is drawn (1)."`
-	Churn       *float64 `placeholder:"X" help:"Machines are replaced at X times the target's daily rate (0: none)."`
+	Plan        string   `placeholder:"FILE"         help:"A plan (TOML) with the same names as the flags; flags that are given go before it."`
+	Workers     *int     `placeholder:"N"            help:"Hollow workers over all regions (1000)."`
+	Regions     *int     `placeholder:"R"            help:"Regions: deployments of their own, side by side (1)."`
+	Zones       *int     `placeholder:"Z"            help:"Zones of each region (3)."`
+	Controllers *int     `placeholder:"C"            help:"Controllers of each region, real processes (3)."`
+	Seconds     *int     `placeholder:"S"            help:"Seconds that are measured, once the fleet is up (40)."`
+	Starts      *float64 `placeholder:"P"            help:"Task starts a second that are asked for (a fortieth of the workers)."               name:"starts-per-second"`
+	Teams       *int     `placeholder:"N"            help:"Teams with limits (140)."`
+	Seed        *uint64  `placeholder:"N"            help:"Of what is drawn (1)."`
+	Churn       *float64 `placeholder:"X"            help:"Machines are replaced at X times the target's daily rate (0: none)."`
 	Fault       []string `placeholder:"KIND@SECONDS" help:"A failure on schedule: leader, rack or zone."`
-	Break       *string  `placeholder:"KIND" help:"A fault of the stand-ins on purpose, so that a check has to fail: twice or stops."`
-	Program     *string  `placeholder:"FILE" help:"A controller that is built already; by default it is built here."`
-	Operator    *string  `placeholder:"FILE" help:"The operators' settings of all controllers (deploy/run.xml)."`
-	Profile     *string  `placeholder:"DIR" help:"Write the controllers' processor profiles there."`
-	Logs        *string  `placeholder:"DIR" help:"Keep the controllers' logs there."`
-	JSON        bool     `help:"Only the result, as one JSON object."`
+	Break       *string  `placeholder:"KIND"         help:"A fault of the stand-ins on purpose, so that a check has to fail: twice or stops."`
+	Program     *string  `placeholder:"FILE"         help:"A controller that is built already; by default it is built here."`
+	Operator    *string  `placeholder:"FILE"         help:"The operators' settings of all controllers (deploy/run.xml)."`
+	Profile     *string  `placeholder:"DIR"          help:"Write the controllers' processor profiles there."`
+	Logs        *string  `placeholder:"DIR"          help:"Keep the controllers' logs there."`
+	JSON        bool     `                           help:"Only the result, as one JSON object."`
 }
 
 var errScale = errors.New("a rule was broken, a controller ended by itself, or nothing was started")
@@ -123,16 +123,39 @@
 // printScale prints a result for people.
 func printScale(r *scale.Result) {
 	fmt.Printf("%d hollow workers in %d regions, real controllers, %.0f s:\n", r.Workers, r.Regions, r.Seconds)
-	fmt.Printf("  starts       %.1f/s of %.1f/s asked for; urgent tasks start after %d ms (p50), %d ms (p99); other jobs %d, %d ms\n",
-		r.Starts, r.StartsAskedFor, r.UrgentP50, r.UrgentP99, r.OthersP50, r.OthersP99)
-	fmt.Printf("  reports      %.1f/s; round trip %.1f ms (p50), %.1f ms (p99); %.3f%% later than 4 s; %d leases ran out\n",
-		r.Reports, r.ReportP50, r.ReportP99, 100*r.ReportLate, r.LeasesLost)
-	fmt.Printf("  leader       %.2f of a core, %.0f MB, %d open files; its loop was held for %.0f ms at the longest (%s)\n",
-		r.LeaderCores, r.LeaderMB, r.LeaderSockets, r.LongestHoldMs, r.LongestHoldBy)
+	fmt.Printf(
+		"  starts       %.1f/s of %.1f/s asked for; urgent tasks start after %d ms (p50), %d ms (p99); other jobs %d, %d ms\n",
+		r.Starts,
+		r.StartsAskedFor,
+		r.UrgentP50,
+		r.UrgentP99,
+		r.OthersP50,
+		r.OthersP99,
+	)
+	fmt.Printf(
+		"  reports      %.1f/s; round trip %.1f ms (p50), %.1f ms (p99); %.3f%% later than 4 s; %d leases ran out\n",
+		r.Reports,
+		r.ReportP50,
+		r.ReportP99,
+		100*r.ReportLate,
+		r.LeasesLost,
+	)
+	fmt.Printf(
+		"  leader       %.2f of a core, %.0f MB, %d open files; its loop was held for %.0f ms at the longest (%s)\n",
+		r.LeaderCores,
+		r.LeaderMB,
+		r.LeaderSockets,
+		r.LongestHoldMs,
+		r.LongestHoldBy,
+	)
 	fmt.Printf("  members      %.3f of a core, %.0f MB, %d open files\n", r.MemberCores, r.MemberMB, r.MemberSockets)
 	fmt.Printf("  state        %.1f requests/s, %.1f changes/s\n", r.StateRPS, r.StateWrites)
 	fmt.Printf("  worker       %.0f bytes/s each\n", r.WorkerBytes)
-	fmt.Printf("  stand-ins    %.2f cores, %.0f MB (hollow workers, state service, cloud and users in one process)\n", r.StandInCores, r.StandInMB)
+	fmt.Printf(
+		"  stand-ins    %.2f cores, %.0f MB (hollow workers, state service, cloud and users in one process)\n",
+		r.StandInCores,
+		r.StandInMB,
+	)
 	fmt.Printf("  rules        %d broken; %d controllers ended by themselves\n", len(r.Broken), r.EndedProcesses)
 	for i, b := range r.Broken {
 		if i == 10 {
--- a/internal/control/saves_test.go
+++ b/internal/control/saves_test.go
@@ -24,7 +24,9 @@
 	spec := stage("wk-000001", time.Second, model.Low)
 	spec.Tasks = 3 * model.ChunkTasks
 	s.c = lead(s.now, &Snapshot{Numbered: 64, Jobs: []JobAdded{{Version: 1, At: s.now, Spec: spec}}})
-	s.step(ReportIn{Report: &model.Report{Machine: "n-1", Addr: "n-1", Type: "eight", Zone: "a", Session: 1, Seq: 1, Token: 1}})
+	s.step(
+		ReportIn{Report: &model.Report{Machine: "n-1", Addr: "n-1", Type: "eight", Zone: "a", Session: 1, Seq: 1, Token: 1}},
+	)
 	s.answer(OK) // the machine's record
 	return s
 }
--- a/internal/control/victims.go
+++ b/internal/control/victims.go
@@ -15,7 +15,8 @@
 	due        bool
 }
 
-// looker makes what shows a pass the attempts on one machine that might be stopped to make room, and what is being freed
+// looker makes what shows a pass the attempts on one machine that might be stopped to make room, and what is being
+// freed
 // there already. A pass asks for the machines that it weighs, and only where room is short. Guards against passes that
 // work out what each of tens of thousands of attempts would lose, where a few machines come into question.
 func (c *Core) looker(now time.Time, guaranteed map[*model.Job]bool) func(nd *sched.Node) {
@@ -47,7 +48,15 @@
 // victim describes an attempt that might be stopped to make room.
 func (c *Core) victim(now time.Time, a *model.Attempt, f *jobFacts) sched.Running {
 	s := a.Job.Spec
-	v := sched.Running{Attempt: a, Rank: a.Job.Rank, Over: !f.guaranteed, Gang: s.Shape == model.Gang, Band: f.band, Slack: f.slack, Due: f.due}
+	v := sched.Running{
+		Attempt: a,
+		Rank:    a.Job.Rank,
+		Over:    !f.guaranteed,
+		Gang:    s.Shape == model.Gang,
+		Band:    f.band,
+		Slack:   f.slack,
+		Due:     f.due,
+	}
 	if s.Checkpoint > 0 {
 		v.Save = grace(a)
 	}
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -28,7 +28,13 @@
 
 // NewCloud makes a cloud without machines; up counts those that have come up and were not given back.
 func NewCloud(up func() int) *Cloud {
-	return &Cloud{Boot: 5 * time.Second, Prefix: "n-", up: up, rented: map[string][]string{}, booting: map[string]bootingMachine{}}
+	return &Cloud{
+		Boot:    5 * time.Second,
+		Prefix:  "n-",
+		up:      up,
+		rented:  map[string][]string{},
+		booting: map[string]bootingMachine{},
+	}
 }
 
 // Rent carries a request out, or tells what it has led to before. It is false where there is no machine left.
@@ -50,7 +56,10 @@
 		}
 		n := c.Name()
 		names = append(names, n)
-		c.booting[n] = bootingMachine{model.Listed{Machine: n, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Booting: true}, now.Add(boot)}
+		c.booting[n] = bootingMachine{
+			model.Listed{Machine: n, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Booting: true},
+			now.Add(boot),
+		}
 	}
 	c.rented[r.Name] = names
 	return names, true
--- a/internal/fake/fleet_rules_test.go
+++ b/internal/fake/fleet_rules_test.go
@@ -38,7 +38,13 @@
 	} {
 		f := NewFleet(now, []model.Team{{Name: "red", Limit: model.LimitOf(8, 0)}})
 		f.Lease = 2 * time.Hour
-		f.Specs["wk-000001"] = &model.Spec{ID: "wk-000001", Team: "red", Shape: model.Array, Tasks: 9, Need: model.Resources{CPU: 4}}
+		f.Specs["wk-000001"] = &model.Spec{
+			ID:    "wk-000001",
+			Team:  "red",
+			Shape: model.Array,
+			Tasks: 9,
+			Need:  model.Resources{CPU: 4},
+		}
 		a := f.Add(model.Listed{Machine: "n-1", Zone: "a"})
 		b := f.Add(model.Listed{Machine: "n-2", Zone: "a"})
 		play(f, a, b)
@@ -59,7 +65,13 @@
 	now := time.Unix(1000, 0)
 	f := NewFleet(now, []model.Team{{Name: "red"}})
 	f.Lease, f.GangWait, f.Run = time.Hour, time.Hour, time.Hour
-	f.Specs["wk-000001"] = &model.Spec{ID: "wk-000001", Team: "red", Shape: model.Gang, Tasks: 2, Need: model.Resources{CPU: 4}}
+	f.Specs["wk-000001"] = &model.Spec{
+		ID:    "wk-000001",
+		Team:  "red",
+		Shape: model.Gang,
+		Tasks: 2,
+		Need:  model.Resources{CPU: 4},
+	}
 	var machines [2]*Worker
 	phase := func(i int) model.Phase {
 		f.SetNow(f.Now().Add(2 * time.Second))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,8 +9,22 @@
 )
 
 var types = []model.MachineType{
-	{Name: "small", Cap: model.Resources{CPU: 4, MemGB: 16}, Price: 0.2, SpotPrice: 0.05, Boot: 30 * time.Second, Zones: []string{"a", "b"}},
-	{Name: "gpu", Cap: model.Resources{CPU: 96, GPU: 8, MemGB: 384}, Price: 28, SpotPrice: 9, Boot: time.Minute, Zones: []string{"a"}},
+	{
+		Name:      "small",
+		Cap:       model.Resources{CPU: 4, MemGB: 16},
+		Price:     0.2,
+		SpotPrice: 0.05,
+		Boot:      30 * time.Second,
+		Zones:     []string{"a", "b"},
+	},
+	{
+		Name:      "gpu",
+		Cap:       model.Resources{CPU: 96, GPU: 8, MemGB: 384},
+		Price:     28,
+		SpotPrice: 9,
+		Boot:      time.Minute,
+		Zones:     []string{"a"},
+	},
 }
 
 func lacking(n int, change func(*model.Spec)) []sched.Shortage {
@@ -18,7 +32,9 @@
 	if change != nil {
 		change(s)
 	}
-	return []sched.Shortage{{Want: &sched.Want{Job: model.NewJob(s, time.Unix(0, 0), 1), Zones: map[string]int{}}, Count: n}}
+	return []sched.Shortage{
+		{Want: &sched.Want{Job: model.NewJob(s, time.Unix(0, 0), 1), Zones: map[string]int{}}, Count: n},
+	}
 }
 
 func view() *View {
@@ -26,7 +42,14 @@
 		ForGPU: func(t *model.MachineType, spot bool) bool { return t.Cap.GPU > 0 && !spot }}
 }
 
-var set = &Settings{MaxRent: 50, KeepIdle: 20 * time.Second, KeepBoots: 1, BootFactor: 2, LeastPaid: time.Minute, KeepSpot: 4}
+var set = &Settings{
+	MaxRent:    50,
+	KeepIdle:   20 * time.Second,
+	KeepBoots:  1,
+	BootFactor: 2,
+	LeastPaid:  time.Minute,
+	KeepSpot:   4,
+}
 
 func count(asks []Ask, o Offer) int {
 	for _, a := range asks {
@@ -74,7 +97,10 @@
 		t.Errorf("there is room in b: rented in %q", got)
 	}
 	v = view()
-	v.Room, v.Refused[Offer{"small", "b", false}] = func(_ *sched.Want, zone string) int { return map[string]int{"b": 3}[zone] }, time.Unix(200, 0)
+	v.Room, v.Refused[Offer{"small", "b", false}] = func(_ *sched.Want, zone string) int { return map[string]int{"b": 3}[zone] }, time.Unix(
+		200,
+		0,
+	)
 	if got := ask(v, nil); got != "a" {
 		t.Errorf("b is refused: rented in %q", got)
 	}
@@ -116,7 +142,10 @@
 
 func TestNothingIsRentedForWhatIsComing(t *testing.T) {
 	v := view()
-	v.Coming = []*Coming{{Type: &types[0], Zone: "a"}, {Type: &types[0], Zone: "b", Soon: func() model.Resources { return model.Resources{CPU: 2, MemGB: 6} }}}
+	v.Coming = []*Coming{
+		{Type: &types[0], Zone: "a"},
+		{Type: &types[0], Zone: "b", Soon: func() model.Resources { return model.Resources{CPU: 2, MemGB: 6} }},
+	}
 	if asks := Rent(set, time.Unix(0, 0), v, lacking(3, nil)); len(asks) != 0 {
 		t.Errorf("asked for %v", asks)
 	}
@@ -125,7 +154,9 @@
 	if asks := Rent(set, time.Unix(0, 0), v, limited); len(asks) != 0 {
 		t.Errorf("for work that its team's limit keeps back: asked for %v", asks)
 	}
-	if asks := Rent(set, time.Unix(0, 0), v, lacking(3, func(s *model.Spec) { s.Rank = model.Production })); len(asks) != 1 {
+	if asks := Rent(set, time.Unix(0, 0), v, lacking(3, func(s *model.Spec) { s.Rank = model.Production })); len(
+		asks,
+	) != 1 {
 		t.Errorf("production does not wait for what may become free: asked for %v", asks)
 	}
 }
@@ -153,7 +184,8 @@
 func TestNothingIsRentedInAQuietZoneWhileAnotherWillDo(t *testing.T) {
 	v := view()
 	v.Count, v.Quiet = map[string]int{"b": 9}, map[string]bool{"a": true}
-	if asks := Rent(set, time.Unix(0, 0), v, lacking(8, nil)); len(asks) != 1 || count(asks, Offer{"small", "b", false}) != 4 {
+	if asks := Rent(set, time.Unix(0, 0), v, lacking(8, nil)); len(asks) != 1 ||
+		count(asks, Offer{"small", "b", false}) != 4 {
 		t.Errorf("asked for %v", asks)
 	}
 	bound := lacking(2, func(s *model.Spec) { s.Zone = "a" })
@@ -162,7 +194,8 @@
 	}
 }
 
-// Guards against working out what ends soon on every machine that is up, five times a second: it is asked for once, and
+// Guards against working out what ends soon on every machine that is up, five times a second: it is asked for once,
+// and
 // only of machines on which what is lacking may run.
 func TestWhatEndsSoonIsAskedForOnlyWhereTasksMayGo(t *testing.T) {
 	v := view()
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -19,9 +19,13 @@
 	if set == nil {
 		return nil
 	}
-	return route.New(*set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), func(way string, from, to route.BreakerState) {
-		n.log.Info("way of requests", "by", way, "from", from.String(), "to", to.String())
-	})
+	return route.New(
+		*set,
+		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		func(way string, from, to route.BreakerState) {
+			n.log.Info("way of requests", "by", way, "from", from.String(), "to", to.String())
+		},
+	)
 }
 
 // ahead is by how much sooner than its user another member gives a request up.
@@ -42,7 +46,12 @@
 	case err != nil || a == nil:
 		return route.Answer{Cause: route.Refused}
 	}
-	out := route.Answer{Cause: route.Cause(min(a.GetCause(), 255)), Status: int(a.GetStatus()), Body: a.GetBody(), After: time.Duration(a.GetAfterS()) * time.Second}
+	out := route.Answer{
+		Cause:  route.Cause(min(a.GetCause(), 255)),
+		Status: int(a.GetStatus()),
+		Body:   a.GetBody(),
+		After:  time.Duration(a.GetAfterS()) * time.Second,
+	}
 	if out.Cause == route.Taken && (out.Status < http.StatusOK || out.Status >= http.StatusInternalServerError) {
 		return route.Answer{Cause: route.Unready}
 	}
@@ -54,6 +63,15 @@
 
 // Hand answers a user's request that another member cannot take.
 func (h relayed) Hand(ctx context.Context, q *peerpb.Hand) *peerpb.HandAnswer {
-	a := h.n.front.Visit(ctx, route.Request{Kind: route.Kind(min(q.GetKind(), 255)), ID: q.GetId(), Body: q.GetBody()}, time.Duration(q.GetWaitMs())*time.Millisecond)
-	return &peerpb.HandAnswer{Cause: uint32(a.Cause), Status: uint32(a.Status), Body: a.Body, AfterS: uint32(a.After.Round(time.Second) / time.Second)}
+	a := h.n.front.Visit(
+		ctx,
+		route.Request{Kind: route.Kind(min(q.GetKind(), 255)), ID: q.GetId(), Body: q.GetBody()},
+		time.Duration(q.GetWaitMs())*time.Millisecond,
+	)
+	return &peerpb.HandAnswer{
+		Cause:  uint32(a.Cause),
+		Status: uint32(a.Status),
+		Body:   a.Body,
+		AfterS: uint32(a.After.Round(time.Second) / time.Second),
+	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -121,7 +121,19 @@
 	if now.Sub(n.held.told) < holdEvery {
 		return
 	}
-	n.log.Info("loop", "longest_hold", n.held.most, "by", n.held.what, "event", n.held.event, "inbox", len(n.inbox), "right", n.right.Load().until().Sub(now))
+	n.log.Info(
+		"loop",
+		"longest_hold",
+		n.held.most,
+		"by",
+		n.held.what,
+		"event",
+		n.held.event,
+		"inbox",
+		len(n.inbox),
+		"right",
+		n.right.Load().until().Sub(now),
+	)
 	n.held = holds{told: now}
 }
 
--- a/internal/rehearse/capacity/capacity.go
+++ b/internal/rehearse/capacity/capacity.go
@@ -50,7 +50,8 @@
 	Loads map[Load]float64
 }
 
-// What the target means for one region. Jobs a second follow from the starts by the runs' mix of jobs: pure arithmetic.
+// What the target means for one region. Jobs a second follow from the starts by the runs' mix of jobs: pure
+// arithmetic.
 const (
 	targetWorkers  = 21_000
 	targetStarts   = 11_000
@@ -62,7 +63,15 @@
 // Sizes are a region of the mean size, one of twice that, and all in one.
 func Sizes() []Size {
 	size := func(name string, part float64) Size {
-		return Size{name, map[Load]float64{Workers: part * targetWorkers, Starts: part * targetStarts, Jobs: part * targetStarts / startsOfOneJob, Teams: targetTeams}}
+		return Size{
+			name,
+			map[Load]float64{
+				Workers: part * targetWorkers,
+				Starts:  part * targetStarts,
+				Jobs:    part * targetStarts / startsOfOneJob,
+				Teams:   targetTeams,
+			},
+		}
 	}
 	return []Size{size("a mean region", 1.0/targetRegions), size("twice that", 2.0/targetRegions), size("all in one", 1)}
 }
@@ -200,8 +209,18 @@
 		if err != nil {
 			return "", err
 		}
-		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s | %s |", q.Role, q.Name, number(line.Intercept), line.slope(Workers), line.slope(Starts),
-			line.slope(Jobs), number(line.Residual), number(line.Spread))
+		fmt.Fprintf(
+			&b,
+			"| %s | %s | %s | %s | %s | %s | %s | %s |",
+			q.Role,
+			q.Name,
+			number(line.Intercept),
+			line.slope(Workers),
+			line.slope(Starts),
+			line.slope(Jobs),
+			number(line.Residual),
+			number(line.Spread),
+		)
 		for _, s := range sizes {
 			value, beyond := line.At(s)
 			mark := ""
@@ -216,7 +235,13 @@
 	for i := range runs {
 		least, most = min(least, Workers.of(&runs[i])), max(most, Workers.of(&runs[i]))
 	}
-	fmt.Fprintf(&b, "\n%d runs, %.0f to %.0f hollow workers in a region. \\* extrapolated: beyond the most workers, starts or jobs a second of any run.\n", len(runs), least, most)
+	fmt.Fprintf(
+		&b,
+		"\n%d runs, %.0f to %.0f hollow workers in a region. \\* extrapolated: beyond the most workers, starts or jobs a second of any run.\n",
+		len(runs),
+		least,
+		most,
+	)
 	return b.String(), nil
 }
 
--- a/internal/rehearse/capacity/capacity_test.go
+++ b/internal/rehearse/capacity/capacity_test.go
@@ -16,10 +16,20 @@
 	var runs []scale.Result
 	for i, workers := range []int{1000, 2000, 4000, 8000, 8000} {
 		starts := float64(100 * (i*i + 1))
-		runs = append(runs, scale.Result{Workers: 2 * workers, Regions: 2, Starts: 2 * starts, LeaderCores: 0.5 + 0.001*float64(workers) + 0.01*starts})
+		runs = append(
+			runs,
+			scale.Result{
+				Workers:     2 * workers,
+				Regions:     2,
+				Starts:      2 * starts,
+				LeaderCores: 0.5 + 0.001*float64(workers) + 0.01*starts,
+			},
+		)
 	}
 	line, err := Fit(q, runs)
-	if err != nil || math.Abs(line.Intercept-0.5) > 1e-9 || math.Abs(line.Slopes[0]-0.001) > 1e-9 || math.Abs(line.Slopes[1]-0.01) > 1e-9 || line.Spread > 1e-9 {
+	if err != nil || math.Abs(line.Intercept-0.5) > 1e-9 || math.Abs(line.Slopes[0]-0.001) > 1e-9 ||
+		math.Abs(line.Slopes[1]-0.01) > 1e-9 ||
+		line.Spread > 1e-9 {
 		t.Errorf("found %+v, %v", line, err)
 	}
 	if v, beyond := line.At(Size{Loads: map[Load]float64{Workers: 4000, Starts: 100}}); math.Abs(v-5.5) > 1e-9 || beyond {
--- a/internal/rehearse/scale/codec.go
+++ b/internal/rehearse/scale/codec.go
@@ -13,12 +13,24 @@
 
 // The outside ends of the published interfaces, of which package wire has the controllers' ends.
 
-var phaseNames = map[model.Phase]string{model.Fetching: "pulling", model.Waiting: "gathering", model.Running: "running",
-	model.Saving: "saving", model.Exited: "exited"}
+var phaseNames = map[model.Phase]string{
+	model.Fetching: "pulling",
+	model.Waiting:  "gathering",
+	model.Running:  "running",
+	model.Saving:   "saving",
+	model.Exited:   "exited",
+}
 
-var causeNames = map[model.Cause]string{model.CauseDone: "done", model.CauseStopped: "halted", model.CausePeers: "mates_gone",
-	model.CauseAlone: "incomplete", model.CauseError: "error", model.CauseNoRoom: "no_room", model.CauseBusy: "busy",
-	model.CauseUnknown: "no_such"}
+var causeNames = map[model.Cause]string{
+	model.CauseDone:    "done",
+	model.CauseStopped: "halted",
+	model.CausePeers:   "mates_gone",
+	model.CauseAlone:   "incomplete",
+	model.CauseError:   "error",
+	model.CauseNoRoom:  "no_room",
+	model.CauseBusy:    "busy",
+	model.CauseUnknown: "no_such",
+}
 
 var verbs = map[string]model.Op{"launch": model.OpLaunch, "stop": model.OpStop, "forget": model.OpForget}
 
@@ -104,7 +116,12 @@
 		return model.Order{}, errForm
 	}
 	grace, _ := m["windDownS"].(float64)
-	return model.Order{Op: verbs[verb], Task: task, Try: fake.Number(m["try"]), Grace: time.Duration(grace * float64(time.Second))}, nil
+	return model.Order{
+		Op:    verbs[verb],
+		Task:  task,
+		Try:   fake.Number(m["try"]),
+		Grace: time.Duration(grace * float64(time.Second)),
+	}, nil
 }
 
 // decodeLeader reads whom a 421 names.
--- a/internal/rehearse/scale/faults.go
+++ b/internal/rehearse/scale/faults.go
@@ -38,7 +38,10 @@
 // run plays the plan's failures until the context ends; what is measured begins now.
 func (f *faults) run(ctx context.Context) {
 	began := time.Now()
-	schedule := slices.SortedFunc(slices.Values(f.plan.Faults), func(a, b Fault) int { return int(a.At*1000) - int(b.At*1000) })
+	schedule := slices.SortedFunc(
+		slices.Values(f.plan.Faults),
+		func(a, b Fault) int { return int(a.At*1000) - int(b.At*1000) },
+	)
 	for _, fault := range schedule {
 		sleep(ctx, time.Duration(fault.At*float64(time.Second))-time.Since(began))
 		if ctx.Err() != nil {
@@ -157,7 +160,12 @@
 func machinesOf(r *region, w *workers, count int) []model.Listed {
 	out := make([]model.Listed, count)
 	for i := range out {
-		out[i] = model.Listed{Machine: r.cloud.cloud.Name(), Addr: w.nextAddress(), Type: typeAt(i), Zone: r.zones[(i/gpuShare+i)%len(r.zones)]}
+		out[i] = model.Listed{
+			Machine: r.cloud.cloud.Name(),
+			Addr:    w.nextAddress(),
+			Type:    typeAt(i),
+			Zone:    r.zones[(i/gpuShare+i)%len(r.zones)],
+		}
 	}
 	return out
 }
--- a/internal/rehearse/scale/needs.go
+++ b/internal/rehearse/scale/needs.go
@@ -65,7 +65,16 @@
 		return err
 	}
 	if most := min(total/2, available); n.MemoryMB > most {
-		errs = append(errs, fmt.Errorf("memory: %d MB are needed, and %d MB may be used (half of %d MB, of which %d MB are free)", n.MemoryMB, most, total, available))
+		errs = append(
+			errs,
+			fmt.Errorf(
+				"memory: %d MB are needed, and %d MB may be used (half of %d MB, of which %d MB are free)",
+				n.MemoryMB,
+				most,
+				total,
+				available,
+			),
+		)
 	}
 	files, err := fileLimit()
 	if err != nil {
@@ -75,7 +84,10 @@
 		errs = append(errs, fmt.Errorf("open files: %d are needed in this process, and its limit is %d", n.Files, files))
 	}
 	if n.Processes > maxProcesses {
-		errs = append(errs, fmt.Errorf("processes: %d are needed, and %d are the most that a run starts", n.Processes, maxProcesses))
+		errs = append(
+			errs,
+			fmt.Errorf("processes: %d are needed, and %d are the most that a run starts", n.Processes, maxProcesses),
+		)
 	}
 	return errors.Join(errs...)
 }
--- a/internal/rehearse/scale/plan.go
+++ b/internal/rehearse/scale/plan.go
@@ -64,7 +64,16 @@
 
 // DefaultPlan is what a run plays where nothing else is said.
 func DefaultPlan() Plan {
-	return Plan{Workers: 1000, Regions: 1, Zones: 3, Controllers: 3, Seconds: 40, Teams: 140, Seed: 1, Operator: "deploy/run.xml"}
+	return Plan{
+		Workers:     1000,
+		Regions:     1,
+		Zones:       3,
+		Controllers: 3,
+		Seconds:     40,
+		Teams:       140,
+		Seed:        1,
+		Operator:    "deploy/run.xml",
+	}
 }
 
 // ReadPlan reads a plan; what it leaves out is as in the plan that is given.
@@ -182,8 +191,26 @@
 // machineTypes are the cloud's.
 func machineTypes(zones []string) []model.MachineType {
 	return []model.MachineType{
-		{Name: plainType, Cap: model.Resources{CPU: 8, MemGB: 32}, CacheGB: 200, FetchGBPerS: 1, Price: 0.4, SpotPrice: 0.1, Boot: bootTime, Zones: zones},
-		{Name: gpuType, Cap: model.Resources{CPU: 16, GPU: gpuCards, MemGB: 128}, CacheGB: 200, FetchGBPerS: 1, Price: 8, SpotPrice: 3, Boot: bootTime, Zones: zones},
+		{
+			Name:        plainType,
+			Cap:         model.Resources{CPU: 8, MemGB: 32},
+			CacheGB:     200,
+			FetchGBPerS: 1,
+			Price:       0.4,
+			SpotPrice:   0.1,
+			Boot:        bootTime,
+			Zones:       zones,
+		},
+		{
+			Name:        gpuType,
+			Cap:         model.Resources{CPU: 16, GPU: gpuCards, MemGB: 128},
+			CacheGB:     200,
+			FetchGBPerS: 1,
+			Price:       8,
+			SpotPrice:   3,
+			Boot:        bootTime,
+			Zones:       zones,
+		},
 	}
 }
 
@@ -206,7 +233,11 @@
 	out := make([]model.Team, p.Teams)
 	for i := range out {
 		limit := max(4*mean, 2*largestGang)
-		out[i] = model.Team{Name: fmt.Sprintf("team-%03d", i), Guarantee: model.Resources{CPU: mean / 2}, Limit: model.LimitOf(limit, 0)}
+		out[i] = model.Team{
+			Name:      fmt.Sprintf("team-%03d", i),
+			Guarantee: model.Resources{CPU: mean / 2},
+			Limit:     model.LimitOf(limit, 0),
+		}
 	}
 	return out
 }
--- a/internal/rehearse/scale/region.go
+++ b/internal/rehearse/scale/region.go
@@ -99,14 +99,29 @@
 	line("[deployment]\nnodes = %d\nzones = [%s]\nclock_off_ms = 5.0", len(r.controllers), quoted(r.zones))
 	for _, t := range p.teams() {
 		cpus, _ := t.Limit.CPU.Most()
-		line("[[deployment.teams]]\nname = %q\ncpus = %f\ncpus_max = %f\ngpus = 0.0\ngpus_max = 0.0", t.Name, t.Guarantee.CPU, cpus)
+		line(
+			"[[deployment.teams]]\nname = %q\ncpus = %f\ncpus_max = %f\ngpus = 0.0\ngpus_max = 0.0",
+			t.Name,
+			t.Guarantee.CPU,
+			cpus,
+		)
 	}
 	line("[[deployment.objectives]]\nkind = \"wait\"\nclass = \"urgent\"\nwithin_s = 1.0\nshare = 0.99")
 	line("[deployment.workers]\nreport_s = %f\nlease_s = %f\ngang_wait_s = %f\ngang_peer_s = %f\ncancel_s = %f",
 		reportEvery.Seconds(), leaseTime.Seconds(), gangWait.Seconds(), gangPeer.Seconds(), cancelIn.Seconds())
-	line("[deployment.state]\nrps = %d.0\nwrite_rps = %d.0\nvalue_kb = %d.0\ntxn_ops = %d", stateRPS, writeRPS, valueKB, txnOps)
+	line(
+		"[deployment.state]\nrps = %d.0\nwrite_rps = %d.0\nvalue_kb = %d.0\ntxn_ops = %d",
+		stateRPS,
+		writeRPS,
+		valueKB,
+		txnOps,
+	)
 	line("[deployment.cloud]\nrps = %d.0\nlist_lag_s = %f", cloudRPS, listLag.Seconds())
-	line("[deployment.machine_limits]\ncores = 1.0\nmem_mb = %d.0\nmax_connections = %d", p.controllerMemory(), p.connections())
+	line(
+		"[deployment.machine_limits]\ncores = 1.0\nmem_mb = %d.0\nmax_connections = %d",
+		p.controllerMemory(),
+		p.connections(),
+	)
 	return b.String()
 }
 
--- a/internal/rehearse/scale/result.go
+++ b/internal/rehearse/scale/result.go
@@ -85,13 +85,30 @@
 
 // less takes counts of before off later ones.
 func (c userCounts) less(b userCounts) userCounts {
-	return userCounts{c.Submitted - b.Submitted, c.Accepted - b.Accepted, c.Done - b.Done, c.Cancelled - b.Cancelled, c.Refused - b.Refused,
-		c.GivenUp - b.GivenUp, c.Retries - b.Retries, c.Starts - b.Starts, c.AskedFor - b.AskedFor}
+	return userCounts{
+		c.Submitted - b.Submitted,
+		c.Accepted - b.Accepted,
+		c.Done - b.Done,
+		c.Cancelled - b.Cancelled,
+		c.Refused - b.Refused,
+		c.GivenUp - b.GivenUp,
+		c.Retries - b.Retries,
+		c.Starts - b.Starts,
+		c.AskedFor - b.AskedFor,
+	}
 }
 
 func (c workerCounts) less(b workerCounts) workerCounts {
-	return workerCounts{c.Reports - b.Reports, c.Redirects - b.Redirects, c.Refused - b.Refused, c.Failed - b.Failed, c.Late - b.Late,
-		c.Commands - b.Commands, c.Refusals - b.Refusals, c.Dials - b.Dials}
+	return workerCounts{
+		c.Reports - b.Reports,
+		c.Redirects - b.Redirects,
+		c.Refused - b.Refused,
+		c.Failed - b.Failed,
+		c.Late - b.Late,
+		c.Commands - b.Commands,
+		c.Refusals - b.Refusals,
+		c.Dials - b.Dials,
+	}
 }
 
 func less(now, before map[string]Flow) map[string]Flow {
--- a/internal/rehearse/scale/run.go
+++ b/internal/rehearse/scale/run.go
@@ -43,14 +43,26 @@
 	if err := need.Check(); err != nil {
 		return nil, err
 	}
-	say("%d hollow workers, %d controllers: up to %d MB, %d open files here, %d processes", p.Workers, p.Regions*p.Controllers, need.MemoryMB, need.Files, need.Processes)
+	say(
+		"%d hollow workers, %d controllers: up to %d MB, %d open files here, %d processes",
+		p.Workers,
+		p.Regions*p.Controllers,
+		need.MemoryMB,
+		need.Files,
+		need.Processes,
+	)
 	dir, err := os.MkdirTemp("", "rehearse-scale-")
 	if err != nil {
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &run{plan: p, say: say, dir: dir, result: &Result{Workers: p.Workers, Hollow: true, Broken: []string{}, Regions: p.Regions, Zones: p.Zones,
-		Controllers: p.Controllers, Teams: p.Teams, Seed: p.Seed, MachineCores: runtime.NumCPU(), Processes: need.Processes}}
+	r := &run{
+		plan: p,
+		say:  say,
+		dir:  dir,
+		result: &Result{Workers: p.Workers, Hollow: true, Broken: []string{}, Regions: p.Regions, Zones: p.Zones,
+			Controllers: p.Controllers, Teams: p.Teams, Seed: p.Seed, MachineCores: runtime.NumCPU(), Processes: need.Processes},
+	}
 	if err := r.prepare(ctx); err != nil {
 		return nil, err
 	}
@@ -143,7 +155,12 @@
 	if err := r.warmUp(ctx); err != nil {
 		return err
 	}
-	failures := &faults{plan: &r.plan, regions: r.regions, workers: r.workers, random: rand.New(rand.NewPCG(r.plan.Seed, 4))}
+	failures := &faults{
+		plan:    &r.plan,
+		regions: r.regions,
+		workers: r.workers,
+		random:  rand.New(rand.NewPCG(r.plan.Seed, 4)),
+	}
 	go r.users.load(ctx)
 	sleep(ctx, rampUp)
 	before := r.mark()
@@ -241,7 +258,13 @@
 
 // mark notes all counts, and empties the histograms.
 func (r *run) mark() *marks {
-	m := &marks{at: time.Now(), logs: map[*controller]int64{}, writes: map[*region]int{}, calls: map[*region]int{}, traffic: r.traffic()}
+	m := &marks{
+		at:      time.Now(),
+		logs:    map[*controller]int64{},
+		writes:  map[*region]int{},
+		calls:   map[*region]int{},
+		traffic: r.traffic(),
+	}
 	for _, region := range r.regions {
 		m.writes[region], m.calls[region] = region.state.counted(), calls(region.state.traffic.snapshot())
 		for _, c := range region.controllers {
@@ -300,7 +323,8 @@
 	}
 }
 
-// sample looks at all processes; first: nothing is counted yet. A process's time since the last look counts for the role
+// sample looks at all processes; first: nothing is counted yet. A process's time since the last look counts for the
+// role
 // that it has now.
 func (r *run) sample(last map[int]time.Duration, first bool) {
 	p := &r.peak
@@ -363,7 +387,13 @@
 	out.OthersP50, out.OthersP99 = int64(quantile(r.users.others, 50, 1)), int64(quantile(r.users.others, 99, 1))
 	out.AcceptP99 = int64(quantile(r.users.accepts, 99, 1))
 	r.users.mu.Unlock()
-	out.Starts, out.StartsAskedFor, out.JobsPerS = float64(out.Users.Starts)/took, float64(out.Users.AskedFor)/took, float64(out.Users.Submitted)/took
+	out.Starts, out.StartsAskedFor, out.JobsPerS = float64(
+		out.Users.Starts,
+	)/took, float64(
+		out.Users.AskedFor,
+	)/took, float64(
+		out.Users.Submitted,
+	)/took
 	out.Reports = float64(out.Answers.Reports) / took
 	if all := out.Answers.Reports + out.Answers.Failed + out.Answers.Refused + out.Answers.Redirects; all > 0 {
 		out.ReportLate = float64(out.Answers.Late) / float64(all)
--- a/internal/rehearse/scale/scale_test.go
+++ b/internal/rehearse/scale/scale_test.go
@@ -52,7 +52,8 @@
 		t.Fatal(err)
 	}
 	p, err := ReadPlan(path, DefaultPlan())
-	if err != nil || p.Workers != 500 || p.Starts != 20.5 || p.Teams != 140 || len(p.Faults) != 1 || p.Faults[0].Kind != ZoneHangs {
+	if err != nil || p.Workers != 500 || p.Starts != 20.5 || p.Teams != 140 || len(p.Faults) != 1 ||
+		p.Faults[0].Kind != ZoneHangs {
 		t.Errorf("read as %+v, %v", p, err)
 	}
 	if err := os.WriteFile(path, []byte("wrokers = 500"), 0o644); err != nil {
@@ -68,16 +69,33 @@
 
 // The two ends of the worker protocol understand each other.
 func TestMessagesAreReadAsTheyWereWritten(t *testing.T) {
-	report := &model.Report{Machine: "n-1", Addr: "127.64.0.1:9000", Type: plainType, Zone: "a", Session: 2, Seq: 7, Token: 41,
-		Tasks: []model.TaskReport{{Task: model.TaskID{Job: "wk-000001", Index: 3}, Try: 9, Phase: model.Exited, Cause: model.CausePeers, Saved: true},
-			{Task: model.TaskID{Job: "wk-000002"}, Try: 1, Phase: model.Waiting}}}
+	report := &model.Report{
+		Machine: "n-1",
+		Addr:    "127.64.0.1:9000",
+		Type:    plainType,
+		Zone:    "a",
+		Session: 2,
+		Seq:     7,
+		Token:   41,
+		Tasks: []model.TaskReport{
+			{Task: model.TaskID{Job: "wk-000001", Index: 3}, Try: 9, Phase: model.Exited, Cause: model.CausePeers, Saved: true},
+			{Task: model.TaskID{Job: "wk-000002"}, Try: 1, Phase: model.Waiting},
+		},
+	}
 	got, err := wire.DecodeReport(appendReport(nil, report))
-	if err != nil || got.Addr != report.Addr || got.Session != 2 || got.Seq != 7 || got.Token != 41 || len(got.Tasks) != 2 || got.Tasks[0] != report.Tasks[0] || got.Tasks[1] != report.Tasks[1] {
+	if err != nil || got.Addr != report.Addr || got.Session != 2 || got.Seq != 7 || got.Token != 41 ||
+		len(got.Tasks) != 2 ||
+		got.Tasks[0] != report.Tasks[0] ||
+		got.Tasks[1] != report.Tasks[1] {
 		t.Errorf("read as %+v, %v", got, err)
 	}
-	orders := []model.Order{{Op: model.OpLaunch, Task: model.TaskID{Job: "wk-000001", Index: 4}, Try: 5}, {Op: model.OpStop, Task: model.TaskID{Job: "wk-000001"}, Try: 6, Grace: 10 * time.Second}}
+	orders := []model.Order{
+		{Op: model.OpLaunch, Task: model.TaskID{Job: "wk-000001", Index: 4}, Try: 5},
+		{Op: model.OpStop, Task: model.TaskID{Job: "wk-000001"}, Try: 6, Grace: 10 * time.Second},
+	}
 	m, err := decodeMessage(wire.AppendCommands(nil, 41, 2, orders))
-	if err != nil || m.token != 41 || m.session != 2 || len(m.orders) != 2 || m.orders[0] != orders[0] || m.orders[1] != orders[1] {
+	if err != nil || m.token != 41 || m.session != 2 || len(m.orders) != 2 || m.orders[0] != orders[0] ||
+		m.orders[1] != orders[1] {
 		t.Errorf("read as %+v, %v", m, err)
 	}
 	if decodeLeader(wire.AppendLeader(nil, "tiller-2")) != "tiller-2" || decodeLeader(wire.AppendLeader(nil, "")) != "" {
@@ -87,7 +105,9 @@
 		t.Error("a job's state is not read")
 	}
 	types := machineTypes([]string{"a", "b"})
-	if read, err := wire.DecodeCatalog(appendCatalog(nil, types)); err != nil || len(read) != 2 || read[1].Cap != types[1].Cap || len(read[0].Zones) != 2 {
+	if read, err := wire.DecodeCatalog(appendCatalog(nil, types)); err != nil || len(read) != 2 ||
+		read[1].Cap != types[1].Cap ||
+		len(read[0].Zones) != 2 {
 		t.Errorf("the catalogue is read as %+v, %v", read, err)
 	}
 	rental := model.Rental{Name: "r-1", Type: gpuType, Zone: "a", Spot: true, Count: 3}
@@ -96,7 +116,8 @@
 	}
 }
 
-// Guards against machines of two regions by one name: the workers of all but one were gone, and their leaders heard nobody.
+// Guards against machines of two regions by one name: the workers of all but one were gone, and their leaders heard
+// nobody.
 func TestMachinesHaveNamesOfTheirOwnOverAllRegions(t *testing.T) {
 	p := DefaultPlan()
 	w, err := newWorkers(&p)
--- a/internal/rehearse/scale/standins.go
+++ b/internal/rehearse/scale/standins.go
@@ -64,8 +64,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &fasthttp.Server{Handler: handler, MaxRequestBodySize: 1 << 20, ReduceMemoryUsage: true, NoDefaultServerHeader: true,
-		NoDefaultDate: true, CloseOnShutdown: true, Logger: quiet{}, ReadTimeout: 2 * time.Minute}
+	s := &fasthttp.Server{
+		Handler:               handler,
+		MaxRequestBodySize:    1 << 20,
+		ReduceMemoryUsage:     true,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+		Logger:                quiet{},
+		ReadTimeout:           2 * time.Minute,
+	}
 	go func() { _ = s.Serve(l) }() // it ends as the listener is closed
 	return s, l, nil
 }
@@ -89,7 +97,12 @@
 }
 
 func newStateServer(address string) (*stateServer, error) {
-	s := &stateServer{traffic: newTraffic(), state: fake.NewState(time.Now), changed: make(chan struct{}), done: make(chan struct{})}
+	s := &stateServer{
+		traffic: newTraffic(),
+		state:   fake.NewState(time.Now),
+		changed: make(chan struct{}),
+		done:    make(chan struct{}),
+	}
 	s.state.MostOps, s.state.MostValue = txnOps, valueKB<<10
 	s.state.Carried = func(ops []any) { s.changes += len(ops) }
 	var l net.Listener
@@ -293,9 +306,13 @@
 		page = mostListed
 	}
 	all := s.workers.list(s.region, s.cloud)
-	from, _ := slices.BinarySearchFunc(all, string(c.QueryArgs().Peek("after"))+"\x00", func(l model.Listed, name string) int {
-		return strings.Compare(l.Machine, name)
-	})
+	from, _ := slices.BinarySearchFunc(
+		all,
+		string(c.QueryArgs().Peek("after"))+"\x00",
+		func(l model.Listed, name string) int {
+			return strings.Compare(l.Machine, name)
+		},
+	)
 	rest := all[from:]
 	c.SetBody(appendList(nil, rest[:min(page, len(rest))], len(rest) > page))
 }
--- a/internal/rehearse/scale/users.go
+++ b/internal/rehearse/scale/users.go
@@ -65,12 +65,25 @@
 func newWaits() *hdrhistogram.Histogram { return hdrhistogram.New(1, mostWait, 3) }
 
 func newUsers(p *Plan, regions []*region, w *workers) *users {
-	u := &users{plan: p, regions: regions, workers: w, traffic: newTraffic(), random: rand.New(rand.NewPCG(p.Seed, 2)), asked: map[string]time.Time{},
-		began: map[string]bool{}, urgent: newWaits(), others: newWaits(), accepts: newWaits()}
+	u := &users{
+		plan:    p,
+		regions: regions,
+		workers: w,
+		traffic: newTraffic(),
+		random:  rand.New(rand.NewPCG(p.Seed, 2)),
+		asked:   map[string]time.Time{},
+		began:   map[string]bool{},
+		urgent:  newWaits(),
+		others:  newWaits(),
+		accepts: newWaits(),
+	}
 	for _, r := range regions {
 		for _, c := range r.controllers {
-			r.clients = append(r.clients, &userClient{&fasthttp.HostClient{Addr: c.front, MaxConns: 512, MaxIdleConnDuration: 5 * time.Second,
-				MaxIdemponentCallAttempts: 1, MaxConnWaitTimeout: time.Second}})
+			r.clients = append(
+				r.clients,
+				&userClient{&fasthttp.HostClient{Addr: c.front, MaxConns: 512, MaxIdleConnDuration: 5 * time.Second,
+					MaxIdemponentCallAttempts: 1, MaxConnWaitTimeout: time.Second}},
+			)
 		}
 	}
 	w.fleet.Launched = u.launched
@@ -160,8 +173,22 @@
 // spec makes a job.
 func (u *users) spec(class string, shape model.Shape, rank model.Rank, tasks int) *model.Spec {
 	n := int(u.jobs.Add(1))
-	s := &model.Spec{ID: fmt.Sprintf("wk-%06d", n), Class: class, Team: fmt.Sprintf("team-%03d", n%u.plan.Teams), Shape: shape, Rank: rank, Tasks: tasks,
-		Need: model.Resources{CPU: 1, MemGB: 1}, Image: fmt.Sprintf("image-%d", n%50), ImageGB: 0.2, Estimate: shortTask, Spot: true}
+	s := &model.Spec{
+		ID:    fmt.Sprintf("wk-%06d", n),
+		Class: class,
+		Team:  fmt.Sprintf("team-%03d", n%u.plan.Teams),
+		Shape: shape,
+		Rank:  rank,
+		Tasks: tasks,
+		Need: model.Resources{
+			CPU:   1,
+			MemGB: 1,
+		},
+		Image:    fmt.Sprintf("image-%d", n%50),
+		ImageGB:  0.2,
+		Estimate: shortTask,
+		Spot:     true,
+	}
 	if shape == model.Service {
 		s.Estimate = 0
 	}
@@ -286,7 +313,11 @@
 }
 
 // request sends a request to a controller that answers; status 0: it was not answered.
-func (j *userJob) request(kind, method, path string, body []byte, wait time.Duration) (status int, answer []byte, by string) {
+func (j *userJob) request(
+	kind, method, path string,
+	body []byte,
+	wait time.Duration,
+) (status int, answer []byte, by string) {
 	at := j.random.IntN(len(j.r.clients))
 	by = j.r.controllers[at].name
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/internal/rehearse/scale/workers.go
+++ b/internal/rehearse/scale/workers.go
@@ -63,7 +63,13 @@
 }
 
 func (h *hollow) listed() model.Listed {
-	return model.Listed{Machine: h.worker.Name, Addr: h.worker.Addr, Type: h.worker.Type, Zone: h.worker.Zone, Spot: h.worker.Spot}
+	return model.Listed{
+		Machine: h.worker.Name,
+		Addr:    h.worker.Addr,
+		Type:    h.worker.Type,
+		Zone:    h.worker.Zone,
+		Spot:    h.worker.Spot,
+	}
 }
 
 const (
--- a/internal/sched/consolidate.go
+++ b/internal/sched/consolidate.go
@@ -67,7 +67,10 @@
 	for _, a := range lone {
 		for _, nd := range room {
 			// Busier, or as busy and first by name: two that are alone don't swap.
-			c := cmp.Or(cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)), cmp.Compare(a.Machine.Name, nd.Machine.Name))
+			c := cmp.Or(
+				cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)),
+				cmp.Compare(a.Machine.Name, nd.Machine.Name),
+			)
 			if c > 0 && rate(nd.Machine) <= rate(a.Machine) && takes(a, nd) {
 				return a
 			}
--- a/internal/sched/kinds.go
+++ b/internal/sched/kinds.go
@@ -20,8 +20,9 @@
 	return least * factor
 }
 
-// machineKinds finds one node of each kind of machine, and numbers the kinds in all nodes: what is of one type, zone and
-// price, and kept for the same work, is one kind. Guards against a look at all machines for each service and each replica.
+// machineKinds finds one node of each kind of machine, and numbers the kinds in all nodes: what is of one type, zone
+// and price, and kept for the same work, is one kind. Guards against a look at all machines for each service and each
+// replica.
 func (p *Picture) machineKinds() []*Node {
 	if p.kinds != nil {
 		return p.kinds
--- a/internal/sched/look_test.go
+++ b/internal/sched/look_test.go
@@ -40,8 +40,13 @@
 		d.used[name] = model.Resources{CPU: float64(number(0, 60, "used"))}
 	}
 	for i := range number(1, 30, "machines") {
-		m := &model.Machine{Name: fmt.Sprint("m", i), Zone: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), Spot: number(0, 2, "spot") == 0,
-			Type: drawnTypes[number(0, 2, "type")], Images: map[string]time.Time{fmt.Sprint("img", number(0, 2, "image")): {}}}
+		m := &model.Machine{
+			Name:   fmt.Sprint("m", i),
+			Zone:   rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"),
+			Spot:   number(0, 2, "spot") == 0,
+			Type:   drawnTypes[number(0, 2, "type")],
+			Images: map[string]time.Time{fmt.Sprint("img", number(0, 2, "image")): {}},
+		}
 		free, freeing, victims := m.Type.Cap, model.Resources{}, []Running(nil)
 		for k := range number(0, 5, "attempts") {
 			need := model.Resources{CPU: float64(number(1, 4, "cpus")), MemGB: 2}
@@ -53,26 +58,69 @@
 				freeing = freeing.Add(need)
 				continue
 			}
-			a := &model.Attempt{Task: model.TaskID{Job: fmt.Sprintf("%s-%d", m.Name, k)}, Team: rapid.SampledFrom(teams).Draw(t, "team"), Need: need, Machine: m}
-			victims = append(victims, Running{Attempt: a, Rank: model.Rank(number(1, 4, "rank")), Over: number(0, 1, "over") == 0,
-				Loss: time.Duration(number(0, 90, "loss")) * time.Second, Save: time.Duration(number(0, 1, "saves")*4) * time.Second, Young: number(0, 3, "young") == 0,
-				Due: number(0, 1, "due") == 0, Slack: time.Duration(number(-20, 200, "slack")) * time.Second, Gang: number(0, 9, "gang") == 0, Band: number(0, 1, "band")})
+			a := &model.Attempt{
+				Task:    model.TaskID{Job: fmt.Sprintf("%s-%d", m.Name, k)},
+				Team:    rapid.SampledFrom(teams).Draw(t, "team"),
+				Need:    need,
+				Machine: m,
+			}
+			victims = append(
+				victims,
+				Running{Attempt: a, Rank: model.Rank(number(1, 4, "rank")), Over: number(0, 1, "over") == 0,
+					Loss: time.Duration(
+						number(0, 90, "loss"),
+					) * time.Second, Save: time.Duration(number(0, 1, "saves")*4) * time.Second, Young: number(0, 3, "young") == 0,
+					Due: number(
+						0,
+						1,
+						"due",
+					) == 0, Slack: time.Duration(number(-20, 200, "slack")) * time.Second, Gang: number(0, 9, "gang") == 0, Band: number(0, 1, "band")},
+			)
 		}
 		d.machines, d.free = append(d.machines, m), append(d.free, free)
 		d.freeing, d.victims = append(d.freeing, freeing), append(d.victims, victims)
 	}
 	for i := range number(1, 8, "wants") {
-		s := &model.Spec{ID: fmt.Sprint("wk-", i), Team: rapid.SampledFrom(teams).Draw(t, "owner"), Shape: model.Shape(number(1, 3, "shape")), Tasks: number(1, 6, "tasks"),
-			Rank: model.Rank(number(1, 4, "its rank")), Need: model.Resources{CPU: float64(number(1, 8, "its cpus")), MemGB: 1}, Spot: number(0, 1, "its spot") == 0,
-			Image: fmt.Sprint("img", number(0, 2, "its image")), ImageGB: 1, OneZone: number(0, 4, "one zone") == 0, Spread: number(0, 5, "spread") == 0}
+		s := &model.Spec{
+			ID:    fmt.Sprint("wk-", i),
+			Team:  rapid.SampledFrom(teams).Draw(t, "owner"),
+			Shape: model.Shape(number(1, 3, "shape")),
+			Tasks: number(1, 6, "tasks"),
+			Rank: model.Rank(
+				number(1, 4, "its rank"),
+			),
+			Need: model.Resources{CPU: float64(number(1, 8, "its cpus")), MemGB: 1},
+			Spot: number(0, 1, "its spot") == 0,
+			Image: fmt.Sprint(
+				"img",
+				number(0, 2, "its image"),
+			),
+			ImageGB: 1,
+			OneZone: number(0, 4, "one zone") == 0,
+			Spread:  number(0, 5, "spread") == 0,
+		}
 		d.specs = append(d.specs, s)
-		d.wants = append(d.wants, Want{Count: s.Tasks, Cap: s.Tasks, Due: number(0, 1, "its due") == 0, Slack: time.Duration(number(-20, 200, "its slack")) * time.Second,
-			Waited: time.Duration(number(0, 100, "waited")) * time.Second, Guaranteed: number(0, 1, "guaranteed") == 0, Begins: number(0, 5, "begins") == 0, Band: number(0, 1, "its band")})
+		d.wants = append(
+			d.wants,
+			Want{
+				Count: s.Tasks,
+				Cap:   s.Tasks,
+				Due:   number(0, 1, "its due") == 0,
+				Slack: time.Duration(number(-20, 200, "its slack")) * time.Second,
+				Waited: time.Duration(
+					number(0, 100, "waited"),
+				) * time.Second,
+				Guaranteed: number(0, 1, "guaranteed") == 0,
+				Begins:     number(0, 5, "begins") == 0,
+				Band:       number(0, 1, "its band"),
+			},
+		)
 	}
 	return d
 }
 
-// picture makes a picture of what was drawn. At once: all that runs is shown before the pass begins, which is how passes
+// picture makes a picture of what was drawn. At once: all that runs is shown before the pass begins, which is how
+// passes
 // looked at everything.
 func (d *drawn) picture(atOnce bool) *Picture {
 	p := &Picture{Teams: d.teams, Used: map[string]model.Resources{}, Leaving: map[string]model.Resources{}}
@@ -121,8 +169,19 @@
 // A pass that looks at what runs on the machines that it weighs, and leaves out those on which nothing may be stopped,
 // decides what one decides that looks at everything first.
 func TestAPassThatLooksAtWhatItWeighsDecidesTheSame(t *testing.T) {
-	set := Settings{IdleShare: 0.7, MaxPreempt: 6, MinRun: 30 * time.Second, Dear: 2, ImageFirst: true, Tight: 30 * time.Second, PreemptWithin: true, FetchInTime: true,
-		BeginWithin: time.Minute, Overtake: time.Minute, OvertakeLate: 15 * time.Minute}
+	set := Settings{
+		IdleShare:     0.7,
+		MaxPreempt:    6,
+		MinRun:        30 * time.Second,
+		Dear:          2,
+		ImageFirst:    true,
+		Tight:         30 * time.Second,
+		PreemptWithin: true,
+		FetchInTime:   true,
+		BeginWithin:   time.Minute,
+		Overtake:      time.Minute,
+		OvertakeLate:  15 * time.Minute,
+	}
 	stopped := 0
 	rapid.Check(t, func(t *rapid.T) {
 		d := drawPicture(t)
@@ -149,7 +208,11 @@
 				w.Job.ErrorOn = map[string]int{rapid.SampledFrom(p.Nodes).Draw(t, "where").Machine.Name: 1}
 			}
 			zone := rapid.SampledFrom([]string{"", "x"}).Draw(t, "in")
-			st := stage{image: rapid.Bool().Draw(t, "with its image"), rate: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "rate"), fetch: rapid.SampledFrom([]float64{0, 1}).Draw(t, "fetch")}
+			st := stage{
+				image: rapid.Bool().Draw(t, "with its image"),
+				rate:  rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "rate"),
+				fetch: rapid.SampledFrom([]float64{0, 1}).Draw(t, "fetch"),
+			}
 			usable := p.usable(w, zone, st)
 			for _, nd := range p.Nodes {
 				if got, want := usable(nd), nd.never(w.Job, nil, zone) == Fits && st.takes(nd, w.Job.Spec); got != want {
@@ -178,7 +241,8 @@
 	})
 }
 
-// Looking through the machines with the image finds the replica to move that a look at all machines for each replica finds.
+// Looking through the machines with the image finds the replica to move that a look at all machines for each replica
+// finds.
 func TestConsolidatingFindsWhatALookAtAllMachinesFinds(t *testing.T) {
 	set := Settings{Dear: 2, MinRun: 30 * time.Second}
 	now, moves := time.Unix(1000, 0), 0
@@ -190,8 +254,15 @@
 			j.Spec.Shape = model.Service
 			for i := range j.Spec.Tasks {
 				m := rapid.SampledFrom(d.machines).Draw(t, "on")
-				a := &model.Attempt{Task: model.TaskID{Job: j.Spec.ID, Index: i}, Job: j, Machine: m, Need: j.Spec.Need, Use: &model.Usage{}, Phase: model.Running,
-					RunningAt: now.Add(-time.Duration(rapid.IntRange(25, 300).Draw(t, "ran")) * time.Second)}
+				a := &model.Attempt{
+					Task:      model.TaskID{Job: j.Spec.ID, Index: i},
+					Job:       j,
+					Machine:   m,
+					Need:      j.Spec.Need,
+					Use:       &model.Usage{},
+					Phase:     model.Running,
+					RunningAt: now.Add(-time.Duration(rapid.IntRange(25, 300).Draw(t, "ran")) * time.Second),
+				}
 				a.Set(model.Present)
 				j.Live[i] = a
 			}
@@ -235,7 +306,8 @@
 		if nd.Machine.Zone == a.Machine.Zone {
 			room--
 		}
-		return nd.Machine != a.Machine && nd.hasImage(spec) && nd.never(j, nil, "") == Fits && spec.Need.Fits(nd.Free) && room < zoneCap(spec, nil)
+		return nd.Machine != a.Machine && nd.hasImage(spec) && nd.never(j, nil, "") == Fits && spec.Need.Fits(nd.Free) &&
+			room < zoneCap(spec, nil)
 	}
 	for _, a := range off {
 		for _, nd := range p.Nodes {
@@ -246,7 +318,10 @@
 	}
 	for _, a := range lone {
 		for _, nd := range p.Nodes {
-			c := cmp.Or(cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)), cmp.Compare(a.Machine.Name, nd.Machine.Name))
+			c := cmp.Or(
+				cmp.Compare(share(nd.Machine, nd.Machine.Used), share(a.Machine, a.Machine.Used)),
+				cmp.Compare(a.Machine.Name, nd.Machine.Name),
+			)
 			if c > 0 && rate(nd.Machine) <= rate(a.Machine) && takes(a, nd) {
 				return a
 			}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -44,7 +44,8 @@
 	return &Client{timeout: timeout, under: under, byAddr: map[string]*list.Element{}, order: list.New()}
 }
 
-// dial puts the making of a connection to a worker under the client's condition. Where there is no socket for it, others
+// dial puts the making of a connection to a worker under the client's condition. Where there is no socket for it,
+// others
 // make room.
 func (c *Client) dial(w *conn) func(rpc.Dial) rpc.Dial {
 	return func(dial rpc.Dial) rpc.Dial {
@@ -136,7 +137,12 @@
 func (c *Client) Commands(addr string, token, session uint64, orders []model.Order, urgent bool) Reply {
 	w := c.take(addr, urgent, time.Now())
 	defer c.give(w)
-	out, err := w.client.Call(fasthttp.MethodPost, "/commands", wire.AppendCommands(nil, token, session, orders), c.timeout)
+	out, err := w.client.Call(
+		fasthttp.MethodPost,
+		"/commands",
+		wire.AppendCommands(nil, token, session, orders),
+		c.timeout,
+	)
 	var s *rpc.StatusError
 	switch {
 	case err == nil:
