--- a/internal/fake/site.go
+++ b/internal/fake/site.go
@@ -17,7 +17,7 @@
 	Fetch, Run, Lease, ReportEvery, GangWait, CancelIn time.Duration
 
 	Runs   func(id model.TaskID) time.Duration // how long a task runs; nil: Run
-	Spread func() float64                      // by what the time between two reports is multiplied; nil: 1
+	Jitter func() float64                      // by what the time between two reports is multiplied; nil: 1
 
 	Specs     map[string]*model.Spec
 	Awaits    map[string][]string // what jobs were submitted to wait for
@@ -99,8 +99,8 @@
 
 // interval is the time until a worker's next report without news.
 func (s *Site) interval() time.Duration {
-	if s.Spread == nil {
+	if s.Jitter == nil {
 		return s.ReportEvery
 	}
-	return time.Duration(s.Spread() * float64(s.ReportEvery))
+	return time.Duration(s.Jitter() * float64(s.ReportEvery))
 }
--- a/internal/rehearse/scale/workers.go
+++ b/internal/rehearse/scale/workers.go
@@ -84,7 +84,7 @@
 func newWorkers(p *Plan) (*workers, error) {
 	w := &workers{broken: p.Break, traffic: newTraffic(), fleet: newFleet(p), random: rand.New(rand.NewPCG(p.Seed, 1)),
 		byName: map[string]*hollow{}, byIP: map[string]*hollow{}, byRegion: map[*region]map[string]*hollow{}, trips: newTrips()}
-	w.fleet.Spread = func() float64 { return 0.75 + 0.5*w.random.Float64() }
+	w.fleet.Jitter = func() float64 { return 0.75 + 0.5*w.random.Float64() }
 	w.fleet.Runs = func(id model.TaskID) time.Duration {
 		return time.Duration((0.5 + w.random.Float64()) * float64(shortTask))
 	}
