--- a/internal/control/victims.go
+++ b/internal/control/victims.go
@@ -16,9 +16,8 @@
 }
 
 // looker makes what shows a pass the attempts on one machine that might be stopped to make room, and what is being
-// freed
-// there already. A pass asks for the machines that it weighs, and only where room is short. Guards against passes that
-// work out what each of tens of thousands of attempts would lose, where a few machines come into question.
+// freed there already. A pass asks for the machines that it weighs, and only where room is short. Guards against
+// passes that work out what each of tens of thousands of attempts would lose, where a few machines come into question.
 func (c *Core) looker(now time.Time, guaranteed map[*model.Job]bool) func(nd *sched.Node) {
 	known := map[*model.Job]*jobFacts{}
 	facts := func(j *model.Job) *jobFacts {
--- a/internal/rehearse/capacity/capacity.go
+++ b/internal/rehearse/capacity/capacity.go
@@ -50,8 +50,7 @@
 	Loads map[Load]float64
 }
 
-// What the target means for one region. Jobs a second follow from the starts by the runs' mix of jobs: pure
-// arithmetic.
+// What the target means for one region. Jobs a second follow from the starts by an assumed mix of jobs.
 const (
 	targetWorkers  = 21_000
 	targetStarts   = 11_000
--- a/internal/rehearse/scale/run.go
+++ b/internal/rehearse/scale/run.go
@@ -324,8 +324,7 @@
 }
 
 // sample looks at all processes; first: nothing is counted yet. A process's time since the last look counts for the
-// role
-// that it has now.
+// role that it has now.
 func (r *run) sample(last map[int]time.Duration, first bool) {
 	p := &r.peak
 	total := 0.0
--- a/internal/sched/look_test.go
+++ b/internal/sched/look_test.go
@@ -120,8 +120,7 @@
 }
 
 // picture makes a picture of what was drawn. At once: all that runs is shown before the pass begins, which is how
-// passes
-// looked at everything.
+// passes looked at everything.
 func (d *drawn) picture(atOnce bool) *Picture {
 	p := &Picture{Teams: d.teams, Used: map[string]model.Resources{}, Leaving: map[string]model.Resources{}}
 	for team, used := range d.used {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -45,8 +45,7 @@
 }
 
 // dial puts the making of a connection to a worker under the client's condition. Where there is no socket for it,
-// others
-// make room.
+// others make room.
 func (c *Client) dial(w *conn) func(rpc.Dial) rpc.Dial {
 	return func(dial rpc.Dial) rpc.Dial {
 		if c.under != nil {
