--- a/review/stand/chaos.go
+++ b/review/stand/chaos.go
@@ -199,7 +199,10 @@
 		n := r.IntN(3)
 		c := w.ctl[n]
 		length := time.Duration(1+r.IntN(12)) * time.Second
-		kind := r.IntN(13)
+		kind := r.IntN(16)
+		if only, err := strconv.Atoi(os.Getenv("MOSTLY")); err == nil && r.IntN(2) == 0 {
+			kind = only
+		}
 		w.mu.Lock()
 		k := w.workers[r.IntN(len(w.workers))]
 		w.mu.Unlock()
@@ -271,6 +274,25 @@
 			onWorker(func(on bool) { k.mute = on })
 		case 12:
 			onWorker(func(on bool) { k.cut = on })
+		default: // the controller's zone is cut from the other zones, not from the state service
+			length = max(length, 8*time.Second)
+			set(func(on bool) {
+				for _, p := range c.peers {
+					p.setCut(on)
+				}
+				leads := w.index(w.state.leader())
+				w.mu.Lock()
+				workers := w.workers
+				w.mu.Unlock()
+				for _, x := range workers {
+					x.mu.Lock()
+					for i := range w.ctl {
+						x.blocked[i] = on && (x.m.field == c.zone) != (i == n)
+					}
+					x.uncommanded = on && leads >= 0 && x.blocked[leads]
+					x.mu.Unlock()
+				}
+			})
 		}
 	}
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,6 +18,9 @@
 		"avoided":   avoided,
 		"reserved":  reserved,
 		"cancelled": cancelled,
+		"tiny":      tiny,
+		"gpu":       gpuRoom,
+		"drained":   drained,
 		"chaos":     chaos,
 	}
 	run := cases[os.Args[1]]
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -26,9 +26,11 @@
 	lastBaton   time.Time
 	sick        bool // every task that starts fails
 	hung        bool
-	deaf        bool // answers and direct commands to it are lost
-	mute        bool // it reaches no controller
-	cut         bool // nothing arrives or leaves
+	deaf        bool    // answers and direct commands to it are lost
+	mute        bool    // it reaches no controller
+	cut         bool    // nothing arrives or leaves
+	blocked     [3]bool // controllers that it does not reach
+	uncommanded bool    // no direct command reaches it
 	wake        chan struct{}
 }
 
@@ -297,7 +299,7 @@
 		}
 		sent, shift := time.Now(), k.shift
 		k.changed = false
-		body, deaf, out := enc(k.report()), k.deaf, k.mute || k.cut
+		body, deaf, out := enc(k.report()), k.deaf, k.mute || k.cut || k.blocked[k.node]
 		k.mu.Unlock()
 		if out {
 			time.Sleep(4 * time.Second)
@@ -323,6 +325,9 @@
 			k.node = k.world.index(str(reply["foreman"]))
 			pause = time.Duration(rand.IntN(500)) * time.Millisecond
 		default:
+			if status == 400 {
+				k.world.refusedReport(k, k.node, len(body))
+			}
 			k.node = (k.node + 1) % len(k.world.ctl)
 			time.Sleep(time.Second)
 			continue
@@ -360,7 +365,7 @@
 		time.Sleep(20 * time.Millisecond) // a hanging machine executes it if it resumes
 	}
 	defer k.mu.Unlock()
-	if k.deaf || k.cut {
+	if k.deaf || k.cut || k.uncommanded {
 		k.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		k.mu.Lock()
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -26,6 +26,7 @@
 	broken  []string
 	starts  map[string]int // times that a task of a job was launched
 	gangs   map[string]*gang
+	refused int // reports that were answered with 400
 
 	gangWait  time.Duration
 	limits    map[string]float64   // cores that a team may use
