Review, case 1: leaders that hand over in circles once all machines are lost

Change: a case with its cause: a leader that hears no machine steps down before a worker's lease has run out, and the next one begins from the start, so no accepted job ever runs again.

--- a/review/stand/cloud.go
+++ b/review/stand/cloud.go
@@ -21,6 +21,7 @@
 	machines map[string]*machine
 	hires    map[string][]string
 	count    int
+	asked    int // requests to rent
 	addr     string
 	down     bool
 }
@@ -37,7 +38,8 @@
 	loaners            bool
 	rented             time.Time
 	up                 time.Time
-	gone               time.Time
+	gone               time.Time // returned or taken
+	died               time.Time // stopped by itself
 	worker             *worker
 }
 
@@ -69,7 +71,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b := c.breeds[breed]
-	return c.add(b, field, false, 0, 60*time.Second)
+	return c.add(b, field, false, 0, time.Second)
+}
+
+// initialSpot rents a spot machine that is up at the start.
+func (c *cloud) initialSpot(breed int, field string) *machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.add(c.breeds[breed], field, true, 0, time.Second)
+}
+
+// take takes a spot machine back without notice.
+func (c *cloud) take(m *machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.gone = time.Now()
+	c.rec.add("trouble: the cloud takes %s back, with no notice", m.name)
+	m.worker.destroy()
+}
+
+// die lets a machine stop with all that is on it. It stays listed as running for 30 s, and then as failed.
+func (c *cloud) die(m *machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.died = time.Now()
+	c.rec.add("trouble: %s stops with all that is on it", m.name)
+	m.worker.destroy()
 }
 
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -112,6 +139,7 @@
 
 func (c *cloud) rent(w http.ResponseWriter, m map[string]any) {
 	hire := str(m["hire"])
+	c.asked++
 	if names, ok := c.hires[hire]; ok {
 		answer(w, 200, map[string]any{"tillers": names})
 		return
@@ -161,6 +189,9 @@
 		if m.up.Before(asOf) {
 			status = "running"
 		}
+		if !m.died.IsZero() && m.died.Add(30*time.Second).Before(asOf) {
+			status = "failed"
+		}
 		l = append(l, map[string]any{"ref": n, "addr": m.worker.addr, "breed": m.breed, "field": m.field,
 			"loaners": m.loaners, "status": status, "heldS": asOf.Sub(m.rented).Seconds()})
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,8 @@
 		"reserved":  reserved,
 		"cancelled": cancelled,
 		"tiny":      tiny,
+		"vanished":  vanished,
+		"odd":       odd,
 		"gpu":       gpuRoom,
 		"drained":   drained,
 		"chaos":     chaos,
