--- a/review/stand/controller.go
+++ b/review/stand/controller.go
@@ -32,13 +32,22 @@
 	return c.front
 }
 
+// nextPort is the next port that freeAddr tries.
+var nextPort = 20000
+
+// freeAddr returns an address that nothing listens on. Only controllers listen on its host, so that nothing takes the
+// port before its controller does.
 func freeAddr() string {
-	l, err := net.Listen("tcp4", host+":0")
-	if err != nil {
-		cannotRun("listen: %v", err)
+	for ; nextPort < 21000; nextPort++ {
+		addr := fmt.Sprintf("%s:%d", controllerHost, nextPort)
+		if l, err := net.Listen("tcp4", addr); err == nil {
+			_ = l.Close()
+			nextPort++
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	cannotRun("no free port on %s", controllerHost)
+	return ""
 }
 
 // runLine returns the words of the deploy file's line `run`.
--- a/review/stand/http.go
+++ b/review/stand/http.go
@@ -85,6 +85,11 @@
 	fmt.Fprintf(r.f, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// host is the loopback address of this run. It has one of its own, so that no port that it finds free is taken by
-// another run or by an outgoing connection before a controller listens on it.
-var host = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&63, os.Getpid()>>8&255, os.Getpid()&255)
+// host and controllerHost are the loopback addresses of this run. It has its own, so that runs at the same time do not
+// take each other's ports.
+var host, controllerHost = loopback(64), loopback(128)
+
+func loopback(first int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", first+pid>>14&63, 1+pid>>7&127, 1+pid&127)
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 		"tiny":      tiny,
 		"vanished":  vanished,
 		"odd":       odd,
+		"mistaken":  mistaken,
 		"gpu":       gpuRoom,
 		"drained":   drained,
 		"chaos":     chaos,
--- a/review/stand/more.go
+++ b/review/stand/more.go
@@ -71,3 +71,41 @@
 	w.watchWaiting(j, k, 176, "waits")
 	return w
 }
+
+// mistaken: two jobs that were submitted with a mistake fail on a healthy machine until their users cancel them after
+// 50 s. It records whether the machine is used again; 90 s of waiting after that do not fit into a case.
+func mistaken(rec *recorder, trouble bool) *world {
+	w := newWorld(rec, hangula(), []breed{kudu})
+	for _, zone := range kudu.fields {
+		w.cloud.initial(0, zone)
+	}
+	w.startAll()
+	w.submit(lessonServe("wk-000001", "shikongo-ops", 1, "windhoek"), 0)
+	if !waitFor(20*time.Second, func() bool { return w.running("wk-000001") == 1 }) {
+		cannotRun("the service did not start")
+	}
+	if trouble {
+		for _, id := range []string{"wk-000002", "wk-000003"} {
+			j := markingRuns(id, "ndapewa-marking", 1, "windhoek", time.Second)
+			j.cores, j.mistaken = 2, true
+			w.submit(j, 1)
+		}
+		time.Sleep(50 * time.Second)
+		w.withdraw("wk-000002", 1)
+		w.withdraw("wk-000003", 2)
+	}
+	j := markingRuns("wk-000004", "ndapewa-marking", 1, "windhoek", 2*time.Second)
+	w.submit(j, 2)
+	since := time.Now()
+	for time.Since(since) < 60*time.Second {
+		time.Sleep(5 * time.Second)
+		status, state := w.poll(j.id, 0)
+		cores, memory := w.inField("windhoek").free()
+		rec.add("user: GET %s: %d %s; the machine has %g cores and %g GB free", j.id, status, state, cores, memory)
+		if state == "done" {
+			return w
+		}
+	}
+	w.breakRule("%s waits for 60 s beside a healthy machine, after the mistaken jobs were cancelled", j.id)
+	return w
+}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -157,7 +157,7 @@
 func (k *worker) start(t *task) {
 	t.status, t.since = "running", time.Now()
 	t.ends = time.Time{}
-	if k.sick {
+	if k.sick || t.job.mistaken {
 		t.fails = true
 		t.ends = t.since.Add(300 * time.Millisecond)
 	} else if t.job.run > 0 {
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -95,6 +95,7 @@
 	field                         string
 	oneZone, scatter, loaners     bool
 	awaits                        []string
+	mistaken                      bool // submitted with a mistake: fails on every machine
 }
 
 func (j *job) body() map[string]any {
