Review: the protocol's names of the stand-ins in a package of their own

Cause: a test of the pages asks for the protocol's names at the edge alone, in all Go files. Change: constants in review/internal/wire. Result: go test ./docs passes.

--- /dev/null
+++ b/review/internal/wire/names.go
@@ -0,0 +1,37 @@
+// Package wire holds the names of the published protocol that the stand-ins use and that are no words of this field.
+package wire
+
+// Names of fields and values of the protocol.
+const (
+	Baton     = "baton"
+	Breed     = "breed"
+	Breeds    = "breeds"
+	Daemon    = "daemon"
+	DueS      = "dueS"
+	Ensemble  = "ensemble"
+	ExpectS   = "expectS"
+	Foreman   = "foreman"
+	Gathering = "gathering"
+	HeldS     = "heldS"
+	Hire      = "hire"
+	Jobclass  = "jobclass"
+	LifeMs    = "lifeMs"
+	Loaners   = "loaners"
+	LowPrice  = "lowPrice"
+	MarkS     = "markS"
+	MatesGone = "mates_gone"
+	Pulling   = "pulling"
+	RecallS   = "recallS"
+	Scatter   = "scatter"
+	Shift     = "shift"
+	Stamp     = "stamp"
+	StartupS  = "startupS"
+	StoreS    = "storeS"
+	Tenancy   = "tenancy"
+	Tick      = "tick"
+	Tiller    = "tiller"
+	Tillers   = "tillers"
+	Verb      = "verb"
+	WindDownS = "windDownS"
+	Withdrawn = "withdrawn"
+)
--- a/review/stand/cancelled.go
+++ b/review/stand/cancelled.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"review/internal/wire"
 )
 
 // cancelled: the leader loses the state service and the other controllers, a user cancels a job through one of these,
@@ -36,7 +38,7 @@
 			time.Sleep(time.Second)
 		}
 	}
-	if state != "withdrawn" {
+	if state != wire.Withdrawn {
 		cannotRun("the job was done already")
 	}
 	told := time.Now()
--- a/review/stand/chaos.go
+++ b/review/stand/chaos.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"review/internal/wire"
 )
 
 // chaos plays many troubles at once and checks the rules. It is no case; it looks for some.
@@ -47,13 +49,13 @@
 	for n := 1; time.Since(begun) < until; n++ {
 		j := randomJob(r, fmt.Sprintf("wk-%06d", n))
 		if len(ids) > 0 && r.IntN(4) == 0 {
-			if other := ids[r.IntN(len(ids))]; w.job(other).shape != "daemon" {
+			if other := ids[r.IntN(len(ids))]; w.job(other).shape != wire.Daemon {
 				j.awaits = []string{other}
 			}
 		}
 		accepted := make(chan bool, 1)
 		cancelAfter := time.Duration(-1)
-		if r.IntN(3) == 0 || j.shape == "daemon" {
+		if r.IntN(3) == 0 || j.shape == wire.Daemon {
 			cancelAfter = time.Duration(r.Float64() * float64(20*time.Second))
 		}
 		users.Add(1)
@@ -80,10 +82,10 @@
 	j.run = time.Duration(1+r.IntN(12)) * time.Second
 	switch r.IntN(6) {
 	case 0:
-		j.shape, j.rank, j.run, j.rows, j.cores = "daemon", "critical", 0, 1+r.IntN(3), 2
+		j.shape, j.rank, j.run, j.rows, j.cores = wire.Daemon, "critical", 0, 1+r.IntN(3), 2
 		j.scatter = r.IntN(2) == 0
 	case 1:
-		j.shape, j.rank, j.rows, j.cores = "ensemble", "urgent", 1+r.IntN(3), 2
+		j.shape, j.rank, j.rows, j.cores = wire.Ensemble, "urgent", 1+r.IntN(3), 2
 		j.oneZone = r.IntN(2) == 0
 	case 2:
 		j.oneZone = true
@@ -123,7 +125,7 @@
 		case known != "" && state != known:
 			w.breakRule("went_back: %s was %s and is %s at %s", j.id, known, state, w.ctl[n].name)
 		}
-		if state == "withdrawn" && cancelAfter < 0 && len(j.awaits) == 0 {
+		if state == wire.Withdrawn && cancelAfter < 0 && len(j.awaits) == 0 {
 			w.breakRule("went_back: %s is withdrawn at %s, and nobody cancelled it", j.id, w.ctl[n].name)
 		}
 		if state == "done" {
@@ -133,11 +135,11 @@
 				}
 			}
 		}
-		if state == "done" || state == "withdrawn" {
+		if state == "done" || state == wire.Withdrawn {
 			finalMu.Lock()
 			final = state
 			finalMu.Unlock()
-			if state == "withdrawn" {
+			if state == wire.Withdrawn {
 				w.tell(j.id)
 			}
 		}
@@ -158,7 +160,7 @@
 				}
 				final = state
 				finalMu.Unlock()
-				if state == "withdrawn" {
+				if state == wire.Withdrawn {
 					w.tell(j.id)
 				}
 				cancelAfter = time.Hour
--- a/review/stand/cloud.go
+++ b/review/stand/cloud.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"review/internal/wire"
 )
 
 // cloud stands in for the cloud of PROTOCOL.
@@ -112,10 +114,10 @@
 		l := []any{}
 		for _, b := range c.breeds {
 			l = append(l, map[string]any{"label": b.label, "cores": b.cores, "cards": b.cards, "memoryGb": b.memory,
-				"localGb": 60.0, "fetchGbPerS": 0.5, "price": b.price, "lowPrice": b.low, "startupS": b.startup,
+				"localGb": 60.0, "fetchGbPerS": 0.5, "price": b.price, wire.LowPrice: b.low, wire.StartupS: b.startup,
 				"fields": b.fields})
 		}
-		answer(w, 200, map[string]any{"breeds": l})
+		answer(w, 200, map[string]any{wire.Breeds: l})
 	case r.URL.Path == "/rentals" && r.Method == http.MethodGet:
 		c.list(w, r)
 	case r.URL.Path == "/rentals":
@@ -123,7 +125,7 @@
 		c.rent(w, m)
 	case r.URL.Path == "/rentals/return":
 		m, _ := dec(body)
-		for _, n := range list(m["tillers"]) {
+		for _, n := range list(m[wire.Tillers]) {
 			if x := c.machines[str(n)]; x != nil && x.gone.IsZero() {
 				x.gone = time.Now()
 				x.worker.destroy()
@@ -138,17 +140,17 @@
 }
 
 func (c *cloud) rent(w http.ResponseWriter, m map[string]any) {
-	hire := str(m["hire"])
+	hire := str(m[wire.Hire])
 	c.asked++
 	if names, ok := c.hires[hire]; ok {
-		answer(w, 200, map[string]any{"tillers": names})
+		answer(w, 200, map[string]any{wire.Tillers: names})
 		return
 	}
 	for _, b := range c.breeds {
-		if b.label != str(m["breed"]) {
+		if b.label != str(m[wire.Breed]) {
 			continue
 		}
-		p := place(b.label, str(m["field"]), boolean(m["loaners"]))
+		p := place(b.label, str(m["field"]), boolean(m[wire.Loaners]))
 		n := min(int(whole(m["number"])), c.capacity[p], 50)
 		if n <= 0 {
 			answer(w, 503, map[string]any{"error": "no capacity"})
@@ -157,11 +159,11 @@
 		c.capacity[p] -= n
 		var names []string
 		for range n {
-			names = append(names, c.add(b, str(m["field"]), boolean(m["loaners"]), c.boot(b), 0).name)
+			names = append(names, c.add(b, str(m["field"]), boolean(m[wire.Loaners]), c.boot(b), 0).name)
 		}
 		c.hires[hire] = names
 		c.rec.add("cloud: rented %v (%s)", names, p)
-		answer(w, 200, map[string]any{"tillers": names})
+		answer(w, 200, map[string]any{wire.Tillers: names})
 		return
 	}
 	answer(w, 400, map[string]any{})
@@ -192,8 +194,8 @@
 		if !m.died.IsZero() && m.died.Add(30*time.Second).Before(asOf) {
 			status = "failed"
 		}
-		l = append(l, map[string]any{"ref": n, "addr": m.worker.addr, "breed": m.breed, "field": m.field,
-			"loaners": m.loaners, "status": status, "heldS": asOf.Sub(m.rented).Seconds()})
+		l = append(l, map[string]any{"ref": n, "addr": m.worker.addr, wire.Breed: m.breed, "field": m.field,
+			wire.Loaners: m.loaners, "status": status, wire.HeldS: asOf.Sub(m.rented).Seconds()})
 	}
-	answer(w, 200, map[string]any{"tillers": l, "more": more})
+	answer(w, 200, map[string]any{wire.Tillers: l, "more": more})
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -8,6 +8,8 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"review/internal/wire"
 )
 
 // limit is the longest time that a case runs.
@@ -56,7 +58,7 @@
 	fields: []string{"windhoek", "walvis", "ondangwa"}}
 
 func lessonServe(id, owner string, rows int, field string) *job {
-	return &job{id: id, class: "lesson-serve", owner: owner, shape: "daemon", rank: "critical", rows: rows, cores: 4,
+	return &job{id: id, class: "lesson-serve", owner: owner, shape: wire.Daemon, rank: "critical", rows: rows, cores: 4,
 		memory: 21, field: field}
 }
 
--- a/review/stand/more.go
+++ b/review/stand/more.go
@@ -1,6 +1,10 @@
 package main
 
-import "time"
+import (
+	"time"
+
+	"review/internal/wire"
+)
 
 // gpuRoom: a small task waits beside a machine with room that is kept for GPU work, while its own type is sold out.
 func gpuRoom(rec *recorder, trouble bool) *world {
@@ -24,7 +28,7 @@
 	}
 	w.cloud.initial(0, "main-hall")
 	w.startAll()
-	w.submit(&job{id: "wk-000001", class: "yield-train", owner: "furrow-core-1", shape: "ensemble", rank: "urgent", rows: 1,
+	w.submit(&job{id: "wk-000001", class: "yield-train", owner: "furrow-core-1", shape: wire.Ensemble, rank: "urgent", rows: 1,
 		cores: 86, cards: 8, memory: 310, run: 200 * time.Second, mark: 30, store: 4}, 0)
 	if !waitFor(20*time.Second, func() bool { return w.running("wk-000001") == 1 }) {
 		cannotRun("the gang did not start")
--- a/review/stand/odd.go
+++ b/review/stand/odd.go
@@ -4,6 +4,8 @@
 	"maps"
 	"strings"
 	"time"
+
+	"review/internal/wire"
 )
 
 // odd sends submissions that lack a field, are out of range or can never run, to all controllers, and looks whether any
@@ -37,7 +39,7 @@
 		}
 	}
 	for field := range base {
-		if field == "breeds" || field == "field" || field == "dueS" {
+		if field == wire.Breeds || field == "field" || field == wire.DueS {
 			try("null "+field, 201, func(m map[string]any) { m[field] = nil })
 			try("no "+field, 201, func(m map[string]any) { delete(m, field) })
 			continue
@@ -46,7 +48,7 @@
 		try("null "+field, 400, func(m map[string]any) { m[field] = nil })
 		try("list "+field, 400, func(m map[string]any) { m[field] = []any{} })
 	}
-	for _, field := range []string{"cores", "cards", "memoryGb", "imageGb", "expectS", "markS", "storeS", "dueS"} {
+	for _, field := range []string{"cores", "cards", "memoryGb", "imageGb", wire.ExpectS, wire.MarkS, wire.StoreS, wire.DueS} {
 		try("negative "+field, 400, func(m map[string]any) { m[field] = -1.0 })
 		try("text "+field, 400, func(m map[string]any) { m[field] = "x" })
 	}
@@ -58,16 +60,16 @@
 	try("ref", 400, func(m map[string]any) { m["ref"] = "x" })
 	try("owner", 422, func(m map[string]any) { m["owner"] = "nobody" })
 	try("field", 422, func(m map[string]any) { m["field"] = "nowhere" })
-	try("breeds", 422, func(m map[string]any) { m["breeds"] = []string{"none"} })
+	try(wire.Breeds, 422, func(m map[string]any) { m[wire.Breeds] = []string{"none"} })
 	try("cores 9", 422, func(m map[string]any) { m["cores"] = 9.0 })
 	try("cards 1", 422, func(m map[string]any) { m["cards"] = 1.0 })
 	try("memoryGb 65", 422, func(m map[string]any) { m["memoryGb"] = 65.0 })
-	try("gang over the limit", 422, func(m map[string]any) { m["shape"], m["rows"] = "ensemble", uint64(45) })
-	try("service over the limit", 422, func(m map[string]any) { m["shape"], m["rows"] = "daemon", uint64(45) })
+	try("gang over the limit", 422, func(m map[string]any) { m["shape"], m["rows"] = wire.Ensemble, uint64(45) })
+	try("service over the limit", 422, func(m map[string]any) { m["shape"], m["rows"] = wire.Daemon, uint64(45) })
 	try("awaits unknown", 422, func(m map[string]any) { m["awaits"] = []string{"wk-777777"} })
 	try("awaits itself", 422, func(m map[string]any) { m["awaits"] = []string{m["ref"].(string)} })
 	try("awaits a service", 422, func(m map[string]any) { m["awaits"] = []string{"wk-000900"} })
-	try("spread gang in one zone", 422, func(m map[string]any) { m["shape"], m["oneZone"], m["scatter"] = "ensemble", true, true })
+	try("spread gang in one zone", 422, func(m map[string]any) { m["shape"], m["oneZone"], m[wire.Scatter] = wire.Ensemble, true, true })
 	for i := range w.ctl {
 		for _, body := range [][]byte{{}, {0xc1}, []byte("{}"), {0x93, 1, 2, 3}, enc(base)[:40], append(enc(base), 0)} {
 			status, _ := call("POST", "http://"+w.ctl[i].front+"/api/jobs", body, 5*time.Second)
--- a/review/stand/state.go
+++ b/review/stand/state.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"review/internal/wire"
 )
 
 // stateService stands in for the state service of PROTOCOL.
@@ -143,8 +145,8 @@
 	case path == "/grants":
 		m, _ := dec(body)
 		s.last++
-		s.leases[s.last] = &lease{life: time.Duration(whole(m["lifeMs"])) * time.Millisecond, at: time.Now()}
-		answer(w, 200, map[string]any{"tenancy": s.last})
+		s.leases[s.last] = &lease{life: time.Duration(whole(m[wire.LifeMs])) * time.Millisecond, at: time.Now()}
+		answer(w, 200, map[string]any{wire.Tenancy: s.last})
 	case strings.HasPrefix(path, "/grants/"):
 		id, _ := strconv.ParseUint(strings.TrimSuffix(path[len("/grants/"):], "/touch"), 10, 64)
 		l := s.leases[id]
@@ -164,9 +166,9 @@
 }
 
 func entryMap(key string, e *kv) map[string]any {
-	m := map[string]any{"k": key, "value": e.value, "stamp": e.stamp}
+	m := map[string]any{"k": key, "value": e.value, wire.Stamp: e.stamp}
 	if e.tenancy != 0 {
-		m["tenancy"] = e.tenancy
+		m[wire.Tenancy] = e.tenancy
 	}
 	return m
 }
@@ -235,7 +237,7 @@
 		if e := s.keys[str(c["k"])]; e != nil {
 			stamp = e.stamp
 		}
-		if stamp != whole(c["stamp"]) {
+		if stamp != whole(c[wire.Stamp]) {
 			failed = append(failed, str(c["k"]))
 		}
 	}
@@ -243,7 +245,7 @@
 		return 409, map[string]any{"failed": failed, "epoch": s.revision}
 	}
 	for _, c := range list(m["apply"]) {
-		if id := whole(object(c)["tenancy"]); id != 0 && s.leases[id] == nil {
+		if id := whole(object(c)[wire.Tenancy]); id != 0 && s.leases[id] == nil {
 			return 400, map[string]any{"error": "no such lease"}
 		}
 	}
@@ -254,7 +256,7 @@
 	for _, c := range list(m["apply"]) {
 		c := object(c)
 		if k, ok := c["write"].(string); ok {
-			s.keys[k] = &kv{value: c["value"], stamp: s.revision, tenancy: whole(c["tenancy"])}
+			s.keys[k] = &kv{value: c["value"], stamp: s.revision, tenancy: whole(c[wire.Tenancy])}
 			s.log = append(s.log, logEntry{key: k, value: c["value"], stamp: s.revision})
 		} else if k := str(c["remove"]); s.keys[k] != nil {
 			delete(s.keys, k)
@@ -278,9 +280,9 @@
 					continue
 				}
 				if e.removed {
-					found = append(found, map[string]any{"remove": e.key, "stamp": e.stamp})
+					found = append(found, map[string]any{"remove": e.key, wire.Stamp: e.stamp})
 				} else {
-					found = append(found, map[string]any{"write": e.key, "value": e.value, "stamp": e.stamp})
+					found = append(found, map[string]any{"write": e.key, "value": e.value, wire.Stamp: e.stamp})
 				}
 			}
 		}
--- a/review/stand/tiny.go
+++ b/review/stand/tiny.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"review/internal/wire"
 )
 
 // tiny: an array of many small tasks fills a machine until its worker's reports are larger than the controllers accept.
@@ -36,7 +38,7 @@
 	w.cloud.capacity[place("combine-gpu", "main-hall", false)] = 1
 	w.cloud.initial(0, "main-hall")
 	w.startAll()
-	gateway := &job{id: "wk-000001", class: "fleet-gateway", owner: "furrow-core-1", shape: "daemon", rank: "critical",
+	gateway := &job{id: "wk-000001", class: "fleet-gateway", owner: "furrow-core-1", shape: wire.Daemon, rank: "critical",
 		rows: 1, cores: 2, memory: 5.6}
 	w.submit(gateway, 0)
 	if !waitFor(20*time.Second, func() bool { return w.running(gateway.id) == 1 }) {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"review/internal/wire"
 )
 
 // worker stands in for the worker of one machine, by "Workers -> controller nodes" of PROTOCOL.
@@ -114,15 +116,15 @@
 		return
 	}
 	for _, t := range k.tasks {
-		if t.job != nil && t.job.shape == "ensemble" && t.status != "exited" {
+		if t.job != nil && t.job.shape == wire.Ensemble && t.status != "exited" {
 			switch whole, broken, done := k.world.gangState(t); {
-			case done && t.status != "pulling":
+			case done && t.status != wire.Pulling:
 				k.exit(t, "done", false)
 				continue
-			case whole && t.status == "gathering":
+			case whole && t.status == wire.Gathering:
 				k.start(t)
 			case broken && t.status == "running":
-				k.exit(t, "mates_gone", false)
+				k.exit(t, wire.MatesGone, false)
 				continue
 			}
 		}
@@ -130,16 +132,16 @@
 			continue
 		}
 		switch t.status {
-		case "pulling":
+		case wire.Pulling:
 			k.world.arrived(k, t)
-			if t.job.shape == "ensemble" {
-				t.status, t.ends = "gathering", now.Add(k.world.gangWait)
+			if t.job.shape == wire.Ensemble {
+				t.status, t.ends = wire.Gathering, now.Add(k.world.gangWait)
 				k.world.gather(t)
 				k.touch()
 				continue
 			}
 			k.start(t)
-		case "gathering":
+		case wire.Gathering:
 			k.exit(t, "incomplete", false)
 		case "running":
 			if t.fails {
@@ -193,7 +195,7 @@
 		o := object(o)
 		key := taskKey{str(o["row"]), whole(o["try"])}
 		t := k.tasks[key]
-		switch str(o["verb"]) {
+		switch str(o[wire.Verb]) {
 		case "launch":
 			if t == nil {
 				k.launch(key)
@@ -202,7 +204,7 @@
 			if t == nil || t.status == "exited" {
 				continue
 			}
-			down := num(o["windDownS"])
+			down := num(o[wire.WindDownS])
 			switch {
 			case t.status == "running" && t.job.mark > 0 && down >= t.job.store:
 				t.status, t.ends = "saving", time.Now().Add(time.Duration(t.job.store*float64(time.Second)))
@@ -246,7 +248,7 @@
 		t.cause = "no_room"
 		return
 	}
-	t.status, t.ends = "pulling", time.Now().Add(200*time.Millisecond)
+	t.status, t.ends = wire.Pulling, time.Now().Add(200*time.Millisecond)
 	k.note("%s try %d launched", key.row, key.try)
 	k.world.launched(k, t)
 }
@@ -265,8 +267,8 @@
 		}
 		rows = append(rows, r)
 	}
-	return map[string]any{"tiller": k.m.name, "addr": k.addr, "breed": k.m.breed, "field": k.m.field,
-		"loaners": k.m.loaners, "shift": k.shift, "tick": k.tick, "baton": k.baton, "recallS": nil, "rows": rows}
+	return map[string]any{wire.Tiller: k.m.name, "addr": k.addr, wire.Breed: k.m.breed, "field": k.m.field,
+		wire.Loaners: k.m.loaners, wire.Shift: k.shift, wire.Tick: k.tick, wire.Baton: k.baton, wire.RecallS: nil, "rows": rows}
 }
 
 func (k *worker) accept(baton uint64) bool {
@@ -316,13 +318,13 @@
 		switch {
 		case status == 200:
 			k.mu.Lock()
-			if k.alive && !k.hung && shift == k.shift && k.accept(whole(reply["baton"])) {
+			if k.alive && !k.hung && shift == k.shift && k.accept(whole(reply[wire.Baton])) {
 				k.leaseFrom = sent
 				k.execute(list(reply["orders"]))
 			}
 			k.mu.Unlock()
-		case status == 421 && k.world.index(str(reply["foreman"])) >= 0 && k.world.index(str(reply["foreman"])) != k.node:
-			k.node = k.world.index(str(reply["foreman"]))
+		case status == 421 && k.world.index(str(reply[wire.Foreman])) >= 0 && k.world.index(str(reply[wire.Foreman])) != k.node:
+			k.node = k.world.index(str(reply[wire.Foreman]))
 			pause = time.Duration(rand.IntN(500)) * time.Millisecond
 		default:
 			if status == 400 {
@@ -375,7 +377,7 @@
 		k.mu.Unlock()
 		time.Sleep(late)
 		k.mu.Lock()
-		if m, _ := dec(body); k.alive && !k.hung && whole(m["shift"]) == k.shift && k.accept(whole(m["baton"])) {
+		if m, _ := dec(body); k.alive && !k.hung && whole(m[wire.Shift]) == k.shift && k.accept(whole(m[wire.Baton])) {
 			k.execute(list(m["orders"]))
 		}
 		panic(http.ErrAbortHandler)
@@ -385,11 +387,11 @@
 		return
 	}
 	m, _ := dec(body)
-	if whole(m["baton"]) == 0 || whole(m["shift"]) == 0 {
+	if whole(m[wire.Baton]) == 0 || whole(m[wire.Shift]) == 0 {
 		answer(w, 400, map[string]any{})
 		return
 	}
-	if whole(m["shift"]) != k.shift || !k.accept(whole(m["baton"])) {
+	if whole(m[wire.Shift]) != k.shift || !k.accept(whole(m[wire.Baton])) {
 		answer(w, 409, k.report())
 		return
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"review/internal/wire"
 )
 
 // world is what the stand-ins share: the controllers, the jobs that users have submitted and what runs.
@@ -99,10 +101,10 @@
 }
 
 func (j *job) body() map[string]any {
-	m := map[string]any{"ref": j.id, "jobclass": j.class, "owner": j.owner, "shape": j.shape, "rank": j.rank,
+	m := map[string]any{"ref": j.id, wire.Jobclass: j.class, "owner": j.owner, "shape": j.shape, "rank": j.rank,
 		"rows": uint64(j.rows), "cores": j.cores, "cards": j.cards, "memoryGb": j.memory, "seed": "img-01", "imageGb": 0.1,
-		"breeds": nil, "field": nil, "oneZone": j.oneZone, "scatter": j.scatter, "loaners": j.loaners,
-		"expectS": j.run.Seconds(), "markS": j.mark, "storeS": j.store, "dueS": nil}
+		wire.Breeds: nil, "field": nil, "oneZone": j.oneZone, wire.Scatter: j.scatter, wire.Loaners: j.loaners,
+		wire.ExpectS: j.run.Seconds(), wire.MarkS: j.mark, wire.StoreS: j.store, wire.DueS: nil}
 	if j.field != "" {
 		m["field"] = j.field
 	}
@@ -207,7 +209,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.on[t.key.row], k)
-	if t.job.shape != "ensemble" {
+	if t.job.shape != wire.Ensemble {
 		return
 	}
 	if g := w.gangs[gangKey(t)]; g != nil && g.here[t.key.row] {
