--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 		"vanished":  vanished,
 		"odd":       odd,
 		"mistaken":  mistaken,
+		"load":      load,
 		"gpu":       gpuRoom,
 		"drained":   drained,
 		"chaos":     chaos,
