Review: a few huge arrays make every leader go over its memory

Cause: ScaleOut packs every task that fits on no machine into a machine of its own in memory, far more than can be requested; the other members go on accepting whatever the leader holds. Nothing is fixed.

--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -26,17 +26,42 @@
 	Report, Lease  float64
 	Cancel         float64
 	RPS, Writes    float64
+	ValueKB        float64
+	TxnOps         int
+	CloudRPS       float64
+	MemMB          float64
+	MaxConns       int
 	MachinesByZone int
+	Breed          func(zones []string) *wire.Breed
 }
 
 func homework() site {
 	return site{
 		Members: []string{"tiller-0", "tiller-1", "tiller-2"}, Zones: []string{"ondangwa", "walvis", "windhoek"},
 		Teams:  [][2]any{{"ndapewa-marking", 176.0}, {"tjikuua-content", 144.0}, {"shikongo-ops", 296.0}},
-		Report: 2, Lease: 12, Cancel: 32, RPS: 200, Writes: 80, MachinesByZone: 4,
+		Report: 2, Lease: 12, Cancel: 32, RPS: 200, Writes: 80, ValueKB: 8, TxnOps: 12, CloudRPS: 2, MemMB: 125, MaxConns: 1200,
+		MachinesByZone: 4, Breed: wire.Kudu,
 	}
 }
 
+// exams is the deployment of the exams board with fewer machines.
+func exams() site {
+	return site{
+		Members: []string{"tiller-0", "tiller-1", "tiller-2"}, Zones: []string{"katima", "keetmanshoop"},
+		Teams:  [][2]any{{"naango-scoring", 0.0}, {"amutenya-portal", 0.0}},
+		Report: 2.5, Lease: 14, Cancel: 34, RPS: 200, Writes: 80, ValueKB: 16, TxnOps: 24, CloudRPS: 3, MemMB: 98, MaxConns: 1500,
+		MachinesByZone: 6, Breed: wire.Mopane,
+	}
+}
+
+// fleetSite is the large deployment of the homework queues with few machines.
+func fleetSite() site {
+	s := homework()
+	s.Teams = [][2]any{{"ndapewa-marking", 5000.0}, {"tjikuua-content", 4000.0}, {"shikongo-ops", 9000.0}}
+	s.Report, s.Lease, s.Cancel, s.RPS, s.Writes, s.CloudRPS, s.MemMB, s.MaxConns = 6, 31, 51, 700, 300, 4, 441, 3995
+	return s
+}
+
 type bed struct {
 	site  site
 	root  string
@@ -102,10 +127,9 @@
 	seconds := func(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
 	b.audit = wire.NewAudit(limits, seconds(s.Cancel), b.note)
 	b.users = &wire.Users{Audit: b.audit, Note: b.note}
-	breed := wire.Kudu(s.Zones)
-	b.fleet, err = wire.NewFleet(b.fronts, []*wire.Breed{breed},
+	b.fleet, err = wire.NewFleet(b.fronts, []*wire.Breed{s.Breed(s.Zones)},
 		wire.Timings{Report: seconds(s.Report), Lease: seconds(s.Lease), Cancel: seconds(s.Cancel), ListLag: 6 * time.Second},
-		2, b.audit, b.note)
+		s.CloudRPS, b.audit, b.note)
 	if err != nil {
 		return nil, err
 	}
@@ -141,9 +165,10 @@
 	}
 	p("[deployment.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = 50.0\ngang_peer_s = 8.0\ncancel_s = %.1f",
 		b.site.Report, b.site.Lease, b.site.Cancel)
-	p("[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = 8.0\ntxn_ops = 12", b.site.RPS, b.site.Writes)
-	p("[deployment.cloud]\nrps = 2.0\nlist_lag_s = 6.0")
-	p("[deployment.machine_limits]\ncores = 0.18\nmem_mb = 125.0\nmax_connections = 1200")
+	p("[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d",
+		b.site.RPS, b.site.Writes, b.site.ValueKB, b.site.TxnOps)
+	p("[deployment.cloud]\nrps = %.1f\nlist_lag_s = 6.0", b.site.CloudRPS)
+	p("[deployment.machine_limits]\ncores = 0.18\nmem_mb = %.1f\nmax_connections = %d", b.site.MemMB, b.site.MaxConns)
 	return t.String()
 }
 
--- a/review/bed/internal/wire/fleet.go
+++ b/review/bed/internal/wire/fleet.go
@@ -669,6 +669,16 @@
 		SpotPrice: 0.09, Capacity: capacity}
 }
 
+// Mopane returns the small machine type of the exams board.
+func Mopane(zones []string) *Breed {
+	capacity := map[string]int{}
+	for _, z := range zones {
+		capacity[z] = 120
+	}
+	return &Breed{Name: "mopane-small", Cores: 8, Mem: 64, Boot: 35 * time.Second, Fetch: 0.6, Zones: zones, Price: 0.7,
+		SpotPrice: 0.26, Capacity: capacity}
+}
+
 // Withdrawn is the state of a cancelled job.
 const Withdrawn = "withdrawn"
 
--- a/review/bed/internal/wire/state.go
+++ b/review/bed/internal/wire/state.go
@@ -123,6 +123,13 @@
 	return ""
 }
 
+// Revision returns the number of the last change.
+func (s *State) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Keys returns the keys with a prefix.
 func (s *State) Keys(prefix string) []string {
 	s.mu.Lock()
