Review: polls for an ended job fail while the state service is slow

Cause: after a restart the end of an older job is looked up by three requests in a row under one time limit, and nothing is kept of them when it is over.

--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -24,7 +24,7 @@
 	trouble   bool
 }
 
-var cases = map[string]func(run) int{"explore": explore, "lost-jobs": lostJobs, "memory": memory}
+var cases = map[string]func(run) int{"explore": explore, "lost-jobs": lostJobs, "memory": memory, "ended-job": endedJob}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
