--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -79,6 +79,7 @@
 	record        *os.File
 	logs          string
 	nextID        int
+	unusable      bool // a controller did not start
 }
 
 func (b *bed) note(format string, args ...any) {
@@ -216,6 +217,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	started := time.Now()
 	b.note("controller %s started", member)
 	b.mu.Lock()
 	b.procs[member] = cmd
@@ -226,7 +228,12 @@
 		b.mu.Lock()
 		expected := b.procs[member] != cmd
 		b.mu.Unlock()
-		if !expected {
+		if !expected && cmd.ProcessState.ExitCode() == 1 && time.Since(started) < 3*time.Second {
+			b.note("controller %s did not start: %v", member, err) // its port was taken, for one
+			b.mu.Lock()
+			b.unusable = true
+			b.mu.Unlock()
+		} else if !expected {
 			b.note("BROKEN crash: controller %s ended by itself: %v", member, err)
 			b.mu.Lock()
 			b.audit.Broken = append(b.audit.Broken, "crash: "+member)
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -46,6 +46,13 @@
 		fmt.Println("broken:", s)
 	}
 	fmt.Println("starts:", b.audit.Starts, "limited:", b.state.Limited)
+	b.mu.Lock()
+	unusable := b.unusable
+	b.mu.Unlock()
+	if unusable {
+		fmt.Println("a controller did not start")
+		return couldNotRun
+	}
 	if len(b.audit.Broken) > 0 {
 		return broken
 	}
