--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -335,6 +335,14 @@
 	return ""
 }
 
+// fiveControllers is the homework deployment with five controllers in one zone.
+func fiveControllers() site {
+	s := homework()
+	s.Members, s.Zones = []string{"tiller-0", "tiller-1", "tiller-2", "tiller-3", "tiller-4"}, []string{"main-hall"}
+	s.MachinesByZone = 12
+	return s
+}
+
 // waitReady waits until a controller leads and all are healthy.
 func (b *bed) waitReady(limit time.Duration) bool {
 	for begin := time.Now(); time.Since(begin) < limit; time.Sleep(100 * time.Millisecond) {
--- a/review/bed/internal/wire/fleet.go
+++ b/review/bed/internal/wire/fleet.go
@@ -84,6 +84,7 @@
 	requests bucket
 	// reportFault is asked for each report: answer lost, or an extra copy that arrives later.
 	reportFault func(m *Machine) (loseAnswer bool, copyAfter time.Duration)
+	mute        func(m *Machine) bool // its reports reach no controller
 }
 
 // Machine is a rented machine with its worker.
@@ -311,6 +312,20 @@
 	reply(w, 200, Map{"tillers": list, "more": more})
 }
 
+// SetMute sets which machines reach no controller; direct commands reach them all the same.
+func (f *Fleet) SetMute(mute func(m *Machine) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mute = mute
+}
+
+// SetBreeds changes the catalogue.
+func (f *Fleet) SetBreeds(breeds []*Breed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.breeds = breeds
+}
+
 // SetReportFault sets what happens to reports from now on.
 func (f *Fleet) SetReportFault(fault func(m *Machine) (loseAnswer bool, copyAfter time.Duration)) {
 	f.mu.Lock()
@@ -596,8 +611,12 @@
 	body := Encode(m.message())
 	m.mu.Unlock()
 	m.fleet.mu.Lock()
-	fault := m.fleet.reportFault
+	fault, mute := m.fleet.reportFault, m.fleet.mute
 	m.fleet.mu.Unlock()
+	if mute != nil && mute(m) {
+		time.Sleep(200 * time.Millisecond)
+		return m.node + 1, time.Second
+	}
 	lose, copyAfter := false, time.Duration(0)
 	if fault != nil {
 		lose, copyAfter = fault(m)
--- a/review/bed/internal/wire/state.go
+++ b/review/bed/internal/wire/state.go
@@ -73,7 +73,11 @@
 	return true
 }
 
-const keptChanges = 10_000
+// keptChanges is how many changes the service keeps. Only attempts that are no case lower it.
+var keptChanges = 10_000
+
+// KeepChanges sets how many changes the service keeps.
+func KeepChanges(n int) { keptChanges = n }
 
 // NewState starts the state service with an address for each controller.
 func NewState(nodes []string, rps, writes float64) (*State, error) {
--- a/review/bed/internal/wire/users.go
+++ b/review/bed/internal/wire/users.go
@@ -112,12 +112,16 @@
 	return a.started[id]
 }
 
-// Unstarted returns the accepted jobs that were not asked to be cancelled and of which no task has started.
+// Unstarted returns the accepted jobs that were not asked to be cancelled, wait for no other job, and of which
+// no task has started.
 func (a *Audit) Unstarted() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var ids []string
 	for id := range a.accepted {
+		if j := a.findJob(id); j != nil && len(j.Awaits) > 0 {
+			continue // it may have to wait
+		}
 		if a.started[id].IsZero() && a.asked[id].IsZero() {
 			ids = append(ids, id)
 		}
@@ -289,3 +293,19 @@
 	defer a.mu.Unlock()
 	return a.used[team]
 }
+
+// Running returns up to n jobs that have tasks on machines.
+func (a *Audit) Running(n int) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	seen := map[string]bool{}
+	var ids []string
+	for row, machines := range a.running {
+		id, _, _ := strings.Cut(row, "/")
+		if len(machines) > 0 && !seen[id] && len(ids) < n {
+			seen[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
