--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -79,7 +79,8 @@
 	record        *os.File
 	logs          string
 	nextID        int
-	unusable      bool // a controller did not start
+	unusable      bool            // a controller did not start
+	old           map[string]bool // controllers that are started with the former version
 }
 
 func (b *bed) note(format string, args ...any) {
@@ -209,6 +210,9 @@
 	if program == "" {
 		program = filepath.Join(b.root, args[0])
 	}
+	if old := os.Getenv("BED_OLD"); old != "" && b.old[member] {
+		program, args = old, []string{old, "--config"}
+	}
 	cmd := exec.Command(program, append(args[1:], path)...)
 	cmd.Dir = b.root
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+level())
@@ -218,7 +222,7 @@
 		return err
 	}
 	started := time.Now()
-	b.note("controller %s started", member)
+	b.note("controller %s started, former version: %v", member, b.old[member])
 	b.mu.Lock()
 	b.procs[member] = cmd
 	b.mu.Unlock()
--- a/review/bed/tries.go
+++ b/review/bed/tries.go
@@ -220,3 +220,130 @@
 }
 
 func init() { cases["try-uniform"] = tryUniform }
+
+// tryUpgrade begins with the former version (BED_OLD) on all controllers and replaces them one after the other, with
+// kills, stops and a slow state service in between.
+func tryUpgrade(r run) int {
+	b, err := newBed(homework(), r.root, filepath.Join(r.dir, "record.txt"))
+	if err != nil || os.Getenv("BED_OLD") == "" {
+		return couldNotRun
+	}
+	b.logs = os.Getenv("BED_LOGS")
+	defer b.close()
+	b.old = map[string]bool{}
+	for _, m := range b.site.Members {
+		b.old[m] = true
+	}
+	if err := b.startAll(); err != nil || !b.waitReady(20*time.Second) {
+		return couldNotRun
+	}
+	end := time.Now().Add(80 * time.Second)
+	for range 3 {
+		go func() {
+			for time.Now().Before(end) {
+				team := b.site.Teams[rand.Intn(3)][0].(string)
+				j := b.newJob(team, wire.Array, 1+rand.Intn(4), 1, time.Duration(1+rand.Intn(15))*time.Second)
+				if rand.Intn(6) == 0 {
+					j = b.newJob(team, wire.Service, 1+rand.Intn(3), 2, 0)
+				}
+				go b.life(j, end)
+				time.Sleep(time.Duration(rand.Intn(1500)) * time.Millisecond)
+			}
+		}()
+	}
+	trouble := func() {
+		m := b.site.Members[rand.Intn(3)]
+		switch rand.Intn(4) {
+		case 0:
+			b.signal(m, syscall.SIGKILL)
+			time.Sleep(time.Duration(rand.Intn(2000)) * time.Millisecond)
+			_ = b.startController(m)
+		case 1:
+			b.signal(m, syscall.SIGSTOP)
+			time.Sleep(time.Duration(1+rand.Intn(6)) * time.Second)
+			b.signal(m, syscall.SIGCONT)
+		case 2:
+			b.state.SetFaults(func(_, _, _ string) wire.Fault { return wire.Fault{Before: ms(0, 200), Lose: rand.Intn(5) == 0} })
+			time.Sleep(4 * time.Second)
+			b.state.SetFaults(nil)
+		case 3:
+			b.state.SetOutage(true)
+			time.Sleep(time.Duration(1+rand.Intn(6)) * time.Second)
+			b.state.SetOutage(false)
+		}
+	}
+	for _, m := range b.site.Members {
+		trouble()
+		time.Sleep(2 * time.Second)
+		b.signal(m, syscall.SIGKILL)
+		b.old[m] = false
+		time.Sleep(time.Second)
+		_ = b.startController(m)
+		time.Sleep(3 * time.Second)
+	}
+	for time.Now().Before(end) {
+		trouble()
+		time.Sleep(2 * time.Second)
+	}
+	time.Sleep(20 * time.Second)
+	fmt.Println("not started:", b.audit.Unstarted())
+	return b.verdict()
+}
+
+func init() { cases["try-upgrade"] = tryUpgrade }
+
+func init() {
+	// New machines are up within two seconds and get work at once while writes lag, and the leader ends.
+	quick := homework()
+	quick.MachinesByZone = 0
+	quick.Breed = func(zones []string) *wire.Breed {
+		breed := wire.Kudu(zones)
+		breed.Boot = 1200 * time.Millisecond
+		return breed
+	}
+	cases["try-quick-boots"] = try(quick, func(b *bed) {
+		b.state.SetFaults(func(_, method, uri string) wire.Fault {
+			if uri == "/commit" {
+				return wire.Fault{Before: ms(0, 1500), Lose: rand.Intn(6) == 0}
+			}
+			return wire.Fault{}
+		})
+		for _, m := range b.fleet.Machines() {
+			if rand.Intn(4) == 0 {
+				m.Hang(time.Duration(5+rand.Intn(15)) * time.Second)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		leader := b.state.Leader()
+		if leader == "" {
+			return
+		}
+		b.signal(leader, syscall.SIGKILL)
+		time.Sleep(time.Duration(rand.Intn(3000)) * time.Millisecond)
+		_ = b.startController(leader)
+	})
+	// One-task jobs at four a second, a quarter cancelled, at the smallest limits of the state service.
+	smallest := homework()
+	smallest.RPS, smallest.Writes = 150, 60
+	cases["try-load"] = func(r run) int {
+		stop := time.Now().Add(75 * time.Second)
+		return try(smallest, func(b *bed) {
+			if time.Now().After(stop) {
+				return
+			}
+			for time.Now().Before(stop) {
+				j := b.newJob("shikongo-ops", wire.Array, 1, 1, time.Duration(2+rand.Intn(10))*time.Second)
+				go b.life(j, stop.Add(20*time.Second))
+				if rand.Intn(4) == 0 {
+					time.AfterFunc(time.Duration(rand.Intn(4000))*time.Millisecond, func() { b.withdraw(j.ID) })
+				}
+				time.Sleep(250 * time.Millisecond)
+				if rand.Intn(60) == 0 {
+					leader := b.state.Leader()
+					b.signal(leader, syscall.SIGKILL)
+					_ = b.startController(leader)
+				}
+			}
+		})(r)
+	}
+}
