--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,8 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 [ -x "$root/target/glentiller" ] && [ -x "$root/review/bin/bed" ] || { echo "not built" >&2; exit 2; }
-timeout -k 1 118 "$root/review/bin/bed" memory "$root" "$here"
+if [ "${TROUBLE:-1}" = 0 ]; then trouble=0; else trouble=1; fi
+TROUBLE=$trouble timeout -k 1 118 "$root/review/bin/bed" memory "$root" "$here"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
