Log which functions hold the heap when memory becomes short

The log said only that memory is short (held_mb=61), and that a pass held the event loop for 0.7 s.

Change: 'memory pressure changed' with short=true names the three functions that hold most of the live heap, estimated from the runtime's sampled allocations.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -132,7 +132,11 @@
 
 func newMemoryMonitor(limitMB float64, log *slog.Logger) *connquota.MemoryMonitor {
 	return connquota.NewMemoryMonitor(uint64(limitMB*(1<<20)), func(underPressure bool, used, limit uint64) {
-		log.Warn("memory pressure changed", "short", underPressure, "held_mb", used>>20, "limit_mb", limit>>20)
+		attributes := []any{"short", underPressure, "held_mb", used >> 20, "limit_mb", limit >> 20}
+		if underPressure {
+			attributes = append(attributes, "largest_heap_users", largestHeapUsers(loggedHeapUsers))
+		}
+		log.Warn("memory pressure changed", attributes...)
 	})
 }
 
