Bound the work of scaling out by the machines that can be requested

A call allocated 419 MB and held the event loop for 0.7 s of a whole core. The first allocation site after that, the states of the tasks (11 MB), is there with the memory that holds. Change: a machine whose request is full is counted in its zone, but not added; once the requests for all equally good offers are full, the tasks are left to a later call. Tasks are assigned to a machine at once, not one by one. Work is bounded by the machines that exist and 50 for each offer. For later shortages, machines that are not requested no longer count as incoming.

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -1,6 +1,9 @@
 package autoscaler
 
 import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -241,3 +244,99 @@
 		t.Errorf("FreeSoon calls by machine: %v, want one call for \"full\"", calls)
 	}
 }
+
+// Guards against a leader that runs out of memory because the work for a shortage grows with its tasks: no more
+// machines are added to the snapshot than can be requested.
+func TestScaleOutIsBoundedByWhatCanBeRequested(t *testing.T) {
+	const maxTasks = 100_000 // of a job that users may submit
+	snapshot := newSnapshot()
+	var shortages []scheduler.Shortage
+	for range 12 {
+		shortages = append(shortages, newShortage(maxTasks, nil)...)
+	}
+	requests := ScaleOut(testSettings, time.Unix(0, 0), snapshot, shortages)
+	if requestedCount(requests, smallInA) != 50 || requestedCount(requests, smallInB) != 50 || len(requests) != 2 {
+		t.Errorf("requested %v, want %d small machines in each zone", requests, testSettings.MaxPerRequest)
+	}
+	if got, limit := len(snapshot.Incoming), 2*testSettings.MaxPerRequest; got > limit {
+		t.Errorf("%d machines were added to the snapshot, want at most the %d that can be requested", got, limit)
+	}
+}
+
+// requestsForAllTasks returns, by offer, the machines that a call without a bound would request: it goes on until every
+// task has a machine, and leaves out the machines beyond MaxPerRequest only at the end.
+func requestsForAllTasks(now time.Time, snapshot *Snapshot, shortage scheduler.Shortage) map[Offer]int {
+	counts := map[Offer]int{}
+	tasksByZone := map[string]int{}
+	for missing := shortage.Count; missing > 0; {
+		best, ok := snapshot.bestOffer(now, shortage.Request, tasksByZone, "")
+		if !ok {
+			break
+		}
+		tasks := min(missing, best.tasksPerMachine, shortage.Request.ZoneRemaining(tasksByZone, best.Zone))
+		missing -= tasks
+		tasksByZone[best.Zone] += tasks
+		snapshot.MachinesByZone[best.Zone]++
+		counts[best.Offer]++
+	}
+	for offer, count := range counts {
+		counts[offer] = min(count, testSettings.MaxPerRequest)
+	}
+	return counts
+}
+
+// Guards against a bound on the work of a call that changes which machines it requests.
+func TestBoundedScaleOutRequestsTheSameMachines(t *testing.T) {
+	random := rand.New(rand.NewPCG(62, 1))
+	now := time.Unix(100, 0)
+	zones := []string{"a", "b", "c"}
+	for round := range 500 {
+		newRandomSnapshot := func(seed uint64) *Snapshot {
+			random := rand.New(rand.NewPCG(seed, 2))
+			snapshot := newSnapshot()
+			snapshot.Types = nil
+			offered := zones[:1+random.IntN(len(zones))]
+			for i := range 1 + random.IntN(3) {
+				cpus := float64(int(2) << random.IntN(4))
+				snapshot.Types = append(snapshot.Types, model.MachineType{
+					Name: fmt.Sprint("type", i), Capacity: model.Resources{CPU: cpus, MemGB: 4 * cpus},
+					PricePerHour: cpus * (1 + random.Float64()), SpotPricePerHour: cpus * random.Float64(), Zones: offered,
+				})
+			}
+			for _, zone := range offered {
+				snapshot.MachinesByZone[zone] = random.IntN(200)
+				snapshot.SuspectZones = map[string]bool{zone: random.IntN(4) == 0}
+			}
+			return snapshot
+		}
+		seed := random.Uint64()
+		shortages := newShortage(1+random.IntN(2000), func(s *model.Spec) {
+			s.AllowSpot, s.Spread = random.IntN(2) == 0, random.IntN(3) == 0
+		})
+		want := requestsForAllTasks(now, newRandomSnapshot(seed), shortages[0])
+		got := map[Offer]int{}
+		for _, request := range ScaleOut(testSettings, now, newRandomSnapshot(seed), shortages) {
+			got[request.Offer] = request.Count
+		}
+		if !maps.Equal(got, want) {
+			t.Fatalf("round %d, %d tasks: requested %v, want %v", round, shortages[0].Count, got, want)
+		}
+	}
+}
+
+// Guards against a call that goes on for every waiting task because one of two offers that cost the same in the same
+// zone can be requested no more.
+func TestScaleOutUsesAllOffersOfTheSamePrice(t *testing.T) {
+	snapshot := newSnapshot()
+	twin := machineTypes[0]
+	twin.Name = "twin"
+	snapshot.Types = []model.MachineType{machineTypes[0], twin}
+	requests := ScaleOut(testSettings, time.Unix(0, 0), snapshot, newShortage(100_000, nil))
+	total := 0
+	for _, request := range requests {
+		total += request.Count
+	}
+	if want := 4 * testSettings.MaxPerRequest; total != want || len(snapshot.Incoming) != want {
+		t.Errorf("requested %v and added %d machines, want %d", requests, len(snapshot.Incoming), want)
+	}
+}
--- a/internal/autoscaler/offer.go
+++ b/internal/autoscaler/offer.go
@@ -40,22 +40,35 @@
 	return -1
 }
 
-// bestOffer returns the preferred offer for one more task of a pending request. If pinnedZone is not empty, only
-// offers in that zone are considered. Offers that the cloud refused recently and zones that may not hold another task
-// of the job are excluded. ok is false if no offer is left.
+// equallyGood reports whether two offers differ at most in their type and zone and in the number of machines there.
+func (o offerOption) equallyGood(other offerOption) bool {
+	return o.suspectZone == other.suspectZone && o.pricePerTask == other.pricePerTask
+}
+
+// bestOffer returns the preferred one among the feasible offers for one more task of a pending request; see
+// feasibleOffers. ok is false if there is none.
 func (s *Snapshot) bestOffer(
 	now time.Time, pending *scheduler.Request, tasksByZone map[string]int, pinnedZone string,
 ) (best offerOption, ok bool) {
-	options := slices.DeleteFunc(s.offersFor(pending), func(o offerOption) bool {
-		otherZone := pinnedZone != "" && o.Zone != pinnedZone
-		return otherZone || now.Before(s.RefusedUntil[o.Offer]) || pending.ZoneFull(tasksByZone, o.Zone)
-	})
+	options := s.feasibleOffers(now, pending, tasksByZone, pinnedZone)
 	if len(options) == 0 {
 		return offerOption{}, false
 	}
 	return slices.MinFunc(options, offerOption.compare), true
 }
 
+// feasibleOffers returns the offers for one more task of a pending request. If pinnedZone is not empty, only offers in
+// that zone are feasible. Offers that the cloud refused recently and zones that may not hold another task of the job
+// are excluded.
+func (s *Snapshot) feasibleOffers(
+	now time.Time, pending *scheduler.Request, tasksByZone map[string]int, pinnedZone string,
+) []offerOption {
+	return slices.DeleteFunc(s.offersFor(pending), func(o offerOption) bool {
+		otherZone := pinnedZone != "" && o.Zone != pinnedZone
+		return otherZone || now.Before(s.RefusedUntil[o.Offer]) || pending.ZoneRemaining(tasksByZone, o.Zone) == 0
+	})
+}
+
 // offersFor returns the offers that the tasks of a pending request may use, including recently refused ones.
 func (s *Snapshot) offersFor(pending *scheduler.Request) []offerOption {
 	var options []offerOption
--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -1,7 +1,9 @@
 package autoscaler
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,13 +15,16 @@
 // incoming capacity; for the rest it requests the cheapest feasible offers that were not refused recently. Shortages
 // that are due to a team's quota are skipped, since more machines would not help.
 //
+// At most Settings.MaxPerRequest machines of each offer are requested. Tasks for which that is not enough are left to
+// later calls, so the time and memory that a call takes do not depend on how many tasks wait.
+//
 // A machine is requested in a zone that is suspected to be partitioned only if no other zone is feasible. Machines
 // cannot register from such a zone, so it appears to have the fewest machines and would otherwise be preferred.
 //
 // ScaleOut modifies the snapshot; see Snapshot.
 func ScaleOut(settings *Settings, now time.Time, snapshot *Snapshot, shortages []scheduler.Shortage) []MachineRequest {
 	snapshot.resetCaches()
-	var requests []MachineRequest
+	requests := &requestSet{maxPerRequest: settings.MaxPerRequest}
 	exhausted := exhaustedPrefixes{}
 	for _, shortage := range shortages {
 		if shortage.OverQuota {
@@ -27,29 +32,41 @@
 		}
 		p := newPacking(now, snapshot, shortage)
 		p.fillIncoming(exhausted)
-		for p.missing > 0 {
-			offer, ok := p.requestMachine(now)
-			if !ok {
-				break
-			}
-			requests = addRequest(requests, offer, shortage.Request.Job.Spec.Class, settings.MaxPerRequest)
+		for p.missing > 0 && p.requestMachine(now, requests) {
 		}
 	}
-	return requests
+	return requests.list
+}
+
+// requestSet holds the requests that a call of ScaleOut makes, at most one for each offer.
+type requestSet struct {
+	maxPerRequest int
+	list          []MachineRequest
 }
 
-// addRequest adds one machine to the request for its offer, or appends a new request if there is none. A request that
-// already has maxCount machines stays unchanged.
-func addRequest(requests []MachineRequest, offer Offer, jobClass string, maxCount int) []MachineRequest {
-	for i := range requests {
-		if requests[i].Offer == offer {
-			if requests[i].Count < maxCount {
-				requests[i].Count++
-			}
-			return requests
+// find returns the request for an offer, or nil if there is none.
+func (s *requestSet) find(offer Offer) *MachineRequest {
+	for i := range s.list {
+		if s.list[i].Offer == offer {
+			return &s.list[i]
 		}
 	}
-	return append(requests, MachineRequest{Offer: offer, Count: 1, JobClass: jobClass})
+	return nil
+}
+
+// full reports whether no more machines of an offer can be requested.
+func (s *requestSet) full(offer Offer) bool {
+	request := s.find(offer)
+	return request != nil && request.Count >= s.maxPerRequest
+}
+
+// add requests one more machine of an offer, which must not be full.
+func (s *requestSet) add(offer Offer, jobClass string) {
+	if request := s.find(offer); request != nil {
+		request.Count++
+		return
+	}
+	s.list = append(s.list, MachineRequest{Offer: offer, Count: 1, JobClass: jobClass})
 }
 
 // packing assigns the tasks of one shortage to incoming and requested machines.
@@ -73,62 +90,73 @@
 	return p
 }
 
+// assign assigns tasks to a machine in a zone.
+func (p *packing) assign(zone string, tasks int) {
+	p.missing -= tasks
+	p.tasksByZone[zone] += tasks
+}
+
 // fillIncoming assigns tasks to incoming machines until no task is missing or no capacity is left. It skips the
 // machines that are recorded as exhausted, and adds a record if no capacity is left.
 func (p *packing) fillIncoming(exhausted exhaustedPrefixes) {
-	for index := exhausted.startIndex(p.pending); p.missing > 0; p.missing-- {
-		index = p.nextWithCapacity(index)
-		if index == len(p.snapshot.Incoming) {
-			exhausted.add(p.pending, p.pinnedZone, index)
+	for index := exhausted.startIndex(p.pending); index < len(p.snapshot.Incoming); index++ {
+		if p.missing == 0 {
 			return
 		}
 		incoming := p.snapshot.Incoming[index]
-		incoming.addTask(p.pending)
-		p.tasksByZone[incoming.Zone]++
+		if tasks := min(p.missing, p.capacityOf(incoming)); tasks > 0 {
+			incoming.addTasks(p.pending, tasks)
+			p.assign(incoming.Zone, tasks)
+		}
+	}
+	if p.missing > 0 {
+		exhausted.add(p.pending, p.pinnedZone, len(p.snapshot.Incoming))
 	}
 }
 
-// nextWithCapacity returns the index of the first incoming machine, at or after the given index, that can take one
-// more task. It returns len(Snapshot.Incoming) if there is none.
-func (p *packing) nextWithCapacity(index int) int {
-	for ; index < len(p.snapshot.Incoming); index++ {
-		if p.hasCapacity(p.snapshot.Incoming[index]) {
-			break
-		}
+// capacityOf returns how many tasks of the pending request an incoming machine can take.
+func (p *packing) capacityOf(incoming *Incoming) int {
+	if p.pinnedZone != "" && p.pinnedZone != incoming.Zone {
+		return 0
 	}
-	return index
+	return min(p.snapshot.capacityOf(p.pending, incoming), p.pending.ZoneRemaining(p.tasksByZone, incoming.Zone))
 }
 
-// hasCapacity reports whether an incoming machine can take one more task of the pending request.
-func (p *packing) hasCapacity(incoming *Incoming) bool {
-	switch {
-	case !p.snapshot.fits(p.pending, incoming):
-		return false
-	case p.pinnedZone != "" && p.pinnedZone != incoming.Zone:
-		return false
-	case p.pending.ZoneFull(p.tasksByZone, incoming.Zone):
+// requestMachine assigns tasks to one more machine of the best offer and requests it. If the request for that offer is
+// full, it does not request the machine and only counts it, so that the next machines are requested in other zones
+// as if it came. If the requests for all equally good offers are full, it leaves tasks to a later call. It returns
+// false if there is no feasible offer or the machine takes no task.
+func (p *packing) requestMachine(now time.Time, requests *requestSet) bool {
+	options := p.snapshot.feasibleOffers(now, p.pending, p.tasksByZone, p.pinnedZone)
+	if len(options) == 0 {
 		return false
 	}
-	return incoming.taskCount(p.pending) < p.pending.MaxPerMachine()
+	best := slices.MinFunc(options, func(a, b offerOption) int {
+		return cmp.Or(a.compare(b), compareFalseFirst(requests.full(a.Offer), requests.full(b.Offer)))
+	})
+	options = slices.DeleteFunc(options, func(o offerOption) bool { return !o.equallyGood(best) })
+	if !slices.ContainsFunc(options, func(o offerOption) bool { return !requests.full(o.Offer) }) {
+		p.leaveToLaterCall(options)
+		return true
+	}
+	tasks := min(p.missing, best.tasksPerMachine, p.pending.MaxPerMachine(),
+		p.pending.ZoneRemaining(p.tasksByZone, best.Zone))
+	p.assign(best.Zone, tasks)
+	p.snapshot.MachinesByZone[best.Zone]++
+	if !requests.full(best.Offer) {
+		requests.add(best.Offer, p.pending.Job.Spec.Class)
+		machine := p.snapshot.addIncoming(findType(p.snapshot.Types, best.Type), best.Offer)
+		machine.addTasks(p.pending, tasks)
+	}
+	return tasks > 0
 }
 
-// requestMachine adds one machine of the best offer to the snapshot, assigns tasks to it and returns the offer. ok is
-// false if there is no feasible offer or the machine takes no task.
-func (p *packing) requestMachine(now time.Time) (offer Offer, ok bool) {
-	best, ok := p.snapshot.bestOffer(now, p.pending, p.tasksByZone, p.pinnedZone)
-	if !ok {
-		return Offer{}, false
-	}
-	machine := p.snapshot.addMachine(findType(p.snapshot.Types, best.Type), best.Offer)
-	maxTasks := min(best.tasksPerMachine, p.pending.MaxPerMachine())
-	tasks := 0
-	for p.missing > 0 && tasks < maxTasks && !p.pending.ZoneFull(p.tasksByZone, best.Zone) {
-		machine.free = machine.free.Sub(p.pending.Job.Spec.Demand)
-		p.tasksByZone[best.Zone]++
-		p.missing--
-		tasks++
-	}
-	return best.Offer, tasks > 0
+// leaveToLaterCall assigns all tasks that the zones of the options may hold to machines that a later call may request.
+// Tasks that are left use offers in other zones.
+func (p *packing) leaveToLaterCall(options []offerOption) {
+	for _, option := range options {
+		p.assign(option.Zone, min(p.missing, p.pending.ZoneRemaining(p.tasksByZone, option.Zone)))
+	}
 }
 
 // findType returns the machine type with the given name, or nil if there is none.
--- a/internal/autoscaler/snapshot.go
+++ b/internal/autoscaler/snapshot.go
@@ -9,7 +9,8 @@
 )
 
 // Snapshot is the state of the cluster that ScaleOut decides from. ScaleOut modifies it: it adds the machines that it
-// requests to Incoming and MachinesByZone, and reduces the capacity of Incoming by the tasks that it assigns.
+// requests to Incoming, reduces the capacity of Incoming by the tasks that it assigns, and counts in MachinesByZone the
+// machines that it requests or leaves to a later call.
 type Snapshot struct {
 	Types          []model.MachineType // the cloud's catalog
 	Incoming       []*Incoming
@@ -40,11 +41,9 @@
 	// it at most once. It is nil for a machine that is not running yet, whose whole capacity is incoming.
 	FreeSoon func() model.Resources
 
-	free             model.Resources    // capacity that is not assigned yet; valid only if freeComputed is true
-	freeComputed     bool               // whether free has been computed; see available
-	kindIndex        int                // index of the machine's kind in Snapshot.kinds
-	lastRequest      *scheduler.Request // request whose tasks were assigned last, or nil if none were
-	lastRequestTasks int                // number of tasks of lastRequest that are assigned
+	free         model.Resources // capacity that is not assigned yet; valid only if freeComputed is true
+	freeComputed bool            // whether free has been computed; see available
+	kindIndex    int             // index of the machine's kind in Snapshot.kinds
 }
 
 // available returns the capacity that is not assigned to tasks yet. It computes the initial capacity on first use.
@@ -58,19 +57,9 @@
 	return i.free
 }
 
-// taskCount returns how many tasks of a pending request are assigned to the incoming machine. Only the request whose
-// tasks were assigned last is tracked, which is enough because ScaleOut handles one request after the other.
-func (i *Incoming) taskCount(pending *scheduler.Request) int {
-	if i.lastRequest != pending {
-		return 0
-	}
-	return i.lastRequestTasks
-}
-
-// addTask assigns one task of a pending request to the incoming machine. The caller has checked that it fits.
-func (i *Incoming) addTask(pending *scheduler.Request) {
-	i.lastRequest, i.lastRequestTasks = pending, i.taskCount(pending)+1
-	i.free = i.free.Sub(pending.Job.Spec.Demand)
+// addTasks assigns tasks of a pending request to the incoming machine. The caller has checked that they fit.
+func (i *Incoming) addTasks(pending *scheduler.Request, tasks int) {
+	i.free = i.available().Sub(pending.Job.Spec.Demand.Times(tasks))
 }
 
 // machineKind holds everything that determines which requests may use an incoming machine.
@@ -98,21 +87,22 @@
 	}
 }
 
-// addMachine adds a machine that is about to be requested to Incoming and MachinesByZone.
-func (s *Snapshot) addMachine(machineType *model.MachineType, offer Offer) *Incoming {
-	machine := &Incoming{
-		Type:         machineType,
-		Zone:         offer.Zone,
-		Spot:         offer.Spot,
-		free:         machineType.Capacity,
-		freeComputed: true,
-	}
+// addIncoming adds a machine that is about to be requested to Incoming.
+func (s *Snapshot) addIncoming(machineType *model.MachineType, offer Offer) *Incoming {
+	machine := &Incoming{Type: machineType, Zone: offer.Zone, Spot: offer.Spot}
 	s.assignKind(machine)
 	s.Incoming = append(s.Incoming, machine)
-	s.MachinesByZone[offer.Zone]++
 	return machine
 }
 
+// capacityOf returns how many tasks of a pending request an incoming machine can take, regardless of their zones.
+func (s *Snapshot) capacityOf(pending *scheduler.Request, incoming *Incoming) int {
+	if !s.fits(pending, incoming) {
+		return 0
+	}
+	return min(pending.Job.Spec.Demand.FitCount(incoming.available()), pending.MaxPerMachine())
+}
+
 // fits reports whether tasks of a pending request may use an incoming machine, and at least one of them fits in its
 // available capacity.
 func (s *Snapshot) fits(pending *scheduler.Request, incoming *Incoming) bool {
--- a/internal/autoscaler/zone.go
+++ b/internal/autoscaler/zone.go
@@ -93,8 +93,8 @@
 func (s *Snapshot) incomingCapacity(pending *scheduler.Request, zone string) int {
 	tasks := 0
 	for _, incoming := range s.Incoming {
-		if incoming.Zone == zone && s.fits(pending, incoming) {
-			tasks += min(pending.Job.Spec.Demand.FitCount(incoming.available()), pending.MaxPerMachine())
+		if incoming.Zone == zone {
+			tasks += s.capacityOf(pending, incoming)
 		}
 	}
 	return tasks
--- a/internal/reconciler/memory_test.go
+++ b/internal/reconciler/memory_test.go
@@ -62,3 +62,48 @@
 	}
 	runtime.KeepAlive(c)
 }
+
+// allocatedBytes returns the number of bytes that f allocates on the heap.
+func allocatedBytes(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Guards against leaders that are killed for memory one after the other because a pass over a few arrays of the
+// largest size that users may submit takes memory for each of their tasks. A pass must fit into the memory that is
+// left when new jobs are no longer accepted, even if none of its garbage is collected.
+func TestPassOverHugeArraysFitsIntoMemory(t *testing.T) {
+	const (
+		arrays          = 12
+		tasksPerArray   = 100_000
+		controllerBytes = 98 << 20
+		refusingPercent = 45 // of the memory; docs/operators.md: from here on new jobs are refused
+		limit           = controllerBytes * (100 - refusingPercent) / 100
+	)
+	s := newWorkerScenario(t, &record.Snapshot{})
+	s.core.settings.Autoscaler.MaxPerRequest = 50
+	s.core.machineTypes[0].Zones = []string{"a", "b"}
+	s.core.teams["red"].Quota = model.Quota{}
+	s.register("n-1")
+	for i := range arrays {
+		spec := oneTask(fmt.Sprintf("wk-%06d", i), model.Array)
+		spec.Tasks, spec.Demand.CPU = tasksPerArray, 8
+		s.step(0, JobAdded{Version: uint64(i + 1), SubmittedAt: s.now, Spec: spec})
+	}
+	provisioned := false
+	for range 5 {
+		if allocated := allocatedBytes(func() { s.step(time.Second, Tick{}) }); allocated > limit {
+			t.Errorf("one step allocated %d MB, want at most %d MB", allocated>>20, limit>>20)
+		}
+		for _, effect := range s.effects {
+			_, ok := effect.(Provision)
+			provisioned = provisioned || ok
+		}
+	}
+	if !provisioned {
+		t.Error("no machines were requested for the waiting tasks")
+	}
+}
--- a/internal/scheduler/rules.go
+++ b/internal/scheduler/rules.go
@@ -108,13 +108,23 @@
 	return limit
 }
 
-// ZoneFull reports whether a zone has the maximum number of the request's tasks, given the number of tasks in each
-// zone. Most jobs have no such limit and need no look-up of the number.
-func (r *Request) ZoneFull(tasksByZone map[string]int, zone string) bool {
+// ZoneRemaining returns how many more of the request's tasks a zone may hold, given the number of tasks in each zone,
+// or math.MaxInt if there is no limit. Most jobs have no limit and need no look-up of the number.
+func (r *Request) ZoneRemaining(tasksByZone map[string]int, zone string) int {
 	if !r.Job.Spec.Spread && r.Rules == nil {
-		return false
+		return math.MaxInt
+	}
+	limit := maxPerZone(r.Job.Spec, r.Rules)
+	if limit == math.MaxInt {
+		return limit
 	}
-	return tasksByZone[zone] >= maxPerZone(r.Job.Spec, r.Rules)
+	return max(limit-tasksByZone[zone], 0)
+}
+
+// ZoneFull reports whether a zone has the maximum number of the request's tasks, given the number of tasks in each
+// zone.
+func (r *Request) ZoneFull(tasksByZone map[string]int, zone string) bool {
+	return r.ZoneRemaining(tasksByZone, zone) == 0
 }
 
 // MaxPerMachine returns the maximum number of tasks of the request's job on one machine, or math.MaxInt if there is
