Take the tasks of a new job by a counter instead of a list

The leader held something for every waiting task: a list of their indices, 8 bytes a task and up to five times that while it grew, 1 MB for an array of 100,000. Change: the tasks that a job begins with are taken in order by a counter; only tasks that wait again are listed. Test that failed before: TestMemoryOfWaitingTasksIsBounded (an array of 100000 waiting tasks takes 1003944 bytes, want at most 235492: what is left above the threshold of memory pressure on 98 MB, divided by what the state service lets members accept in 3 s). TestTakePendingReturnsEachWaitingTaskOnce and TestNewTasksAreTakenInOrder, which hold with both, guard the behaviour.

--- a/internal/model/tasks.go
+++ b/internal/model/tasks.go
@@ -16,8 +16,11 @@
 type JobTasks struct {
 	states []TaskState       // by task index
 	counts [TaskDone + 1]int // number of tasks, by state
-	// pending holds stacks of the indices of waiting tasks, by state. A stack may contain tasks that have left the
-	// state since they were pushed.
+	// untaken is the index from which tasks in TaskNew have never been returned by TakePending. It stands for a list of
+	// the tasks that a new job waits with, which may be 100,000.
+	untaken int
+	// pending holds stacks of the indices of tasks that entered a waiting state, by state. A stack may contain tasks
+	// that have left the state since they were pushed.
 	pending [TaskDone + 1][]int
 	// restarted holds the unfinished tasks that had an attempt which ended. The run time of their last attempt may be
 	// less than the run time of a whole task, so it does not count for estimates.
@@ -27,9 +30,6 @@
 func newJobTasks(taskCount int) JobTasks {
 	tasks := JobTasks{states: make([]TaskState, taskCount), restarted: map[int]bool{}}
 	tasks.counts[TaskNew] = taskCount
-	for i := taskCount - 1; i >= 0; i-- {
-		tasks.pending[TaskNew] = append(tasks.pending[TaskNew], i)
-	}
 	return tasks
 }
 
@@ -67,6 +67,21 @@
 		}
 	}
 	t.pending[s] = pending
+	if s == TaskNew {
+		return t.takeUntaken()
+	}
+	return 0, false
+}
+
+// takeUntaken implements TakePending for the tasks of a new job.
+func (t *JobTasks) takeUntaken() (task int, ok bool) {
+	for t.untaken < len(t.states) {
+		i := t.untaken
+		t.untaken++
+		if t.states[i] == TaskNew {
+			return i, true
+		}
+	}
 	return 0, false
 }
 
--- a/internal/reconciler/memory_test.go
+++ b/internal/reconciler/memory_test.go
@@ -107,3 +107,32 @@
 		t.Error("no machines were requested for the waiting tasks")
 	}
 }
+
+// Guards against leaders that are killed for memory because the states of waiting tasks take more of it than the jobs
+// that arrive before new ones are refused may take. The state service bounds how many arrive.
+func TestMemoryOfWaitingTasksIsBounded(t *testing.T) {
+	const (
+		arrays             = 12
+		tasksPerArray      = 100_000
+		controllerBytes    = 98 << 20
+		refusingPercent    = 45 // of the memory; docs/operators.md: from here on new jobs are refused
+		acceptedPerSecond  = 80 // each job that is accepted is a write to the state service
+		refusalDelaySecond = 3  // until all members refuse new jobs
+		maxArrayBytes      = controllerBytes * (100 - refusingPercent) / 100 / (acceptedPerSecond * refusalDelaySecond)
+	)
+	now := time.Unix(1000, 0)
+	snapshot := &record.Snapshot{NumberedChunkTasks: 64}
+	for i := range arrays {
+		spec := oneTask(fmt.Sprintf("wk-%06d", i), model.Array)
+		spec.Tasks = tasksPerArray
+		snapshot.Jobs = append(snapshot.Jobs, record.Job{Version: uint64(i + 1), SubmittedAt: now, Spec: spec})
+	}
+	before := liveHeapBytes()
+	c := newTestLeader(now, snapshot)
+	arrayBytes := (liveHeapBytes() - before) / arrays
+	t.Logf("%d bytes for an array of %d waiting tasks", arrayBytes, tasksPerArray)
+	if arrayBytes > maxArrayBytes {
+		t.Errorf("an array of %d waiting tasks takes %d bytes, want at most %d", tasksPerArray, arrayBytes, maxArrayBytes)
+	}
+	runtime.KeepAlive(c)
+}
