Refuse new jobs on all members while the leader is short of memory

Cause: a member decides by its own memory alone, but only the leader holds the states of all tasks; a job that the leader refuses is even forwarded to a member that accepts it. Change: the leader's message to the members, sent every second, says whether its memory is short (Progress.memory_short, a new field that older versions ignore). Jobs that are known, polls and cancellations are answered as before.

--- a/internal/controller/backend.go
+++ b/internal/controller/backend.go
@@ -84,8 +84,10 @@
 // Team returns the team with the given name, or nil if the platform configures no such team.
 func (c *Controller) Team(name string) *model.Team { return c.teams[name] }
 
-// UnderMemoryPressure reports whether the process is too short of memory to accept more jobs.
-func (c *Controller) UnderMemoryPressure() bool { return c.memory.UnderPressure() }
+// UnderMemoryPressure reports whether this process or the leader is too short of memory for more jobs.
+func (c *Controller) UnderMemoryPressure() bool {
+	return c.memory.UnderPressure() || c.leader.underMemoryPressure(time.Now())
+}
 
 // LastStateServiceResponse returns when the state service last answered a request. The zero time means never.
 func (c *Controller) LastStateServiceResponse() time.Time { return c.store.LastContact() }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -19,9 +19,10 @@
 
 // leaderContact describes the last message from a leader to this member.
 type leaderContact struct {
-	leader    string
-	at        time.Time
-	votesOnly bool // the leader's lease at the state service had expired, and only votes held its leadership
+	leader      string
+	at          time.Time
+	votesOnly   bool // the leader's lease at the state service had expired, and only votes held its leadership
+	memoryShort bool // the leader was under memory pressure
 }
 
 // current returns the leader's name, or an empty string if no leader is known.
@@ -42,8 +43,13 @@
 }
 
 // observe records a message from a leader.
-func (v *leaderView) observe(leader string, now time.Time, votesOnly bool) {
-	v.contact.Store(&leaderContact{leader: leader, at: now, votesOnly: votesOnly})
+func (v *leaderView) observe(contact leaderContact) { v.contact.Store(&contact) }
+
+// underMemoryPressure reports whether the leader is short of memory, as far as this member knows. Only the leader
+// holds the states of all tasks, so its memory may be short while that of every other member is not.
+func (v *leaderView) underMemoryPressure(now time.Time) bool {
+	contact := v.contact.Load()
+	return contact != nil && contact.memoryShort && now.Sub(contact.at) < leaderContactTimeout
 }
 
 // contactedRecently reports whether the given leader has sent a message to this member within
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -71,6 +71,7 @@
 	p.Token, p.Member = c.election.FencingToken(), c.platform.Member
 	lease := c.lease.load()
 	p.OnPromises = lease != nil && lease.heldByVotesOnly(time.Now())
+	p.MemoryShort = c.memory.UnderPressure()
 	c.reconciler.EachProgress(func(id string, done, running int) {
 		p.Jobs = append(p.Jobs, &peerpb.JobProgress{Id: id, Done: uint32(done), Running: uint32(running)})
 	})
@@ -80,7 +81,9 @@
 // HandleProgress stores the progress in a leader's message and records that the leader is reachable.
 func (h peerHandler) HandleProgress(p *peerpb.Progress) {
 	c := h.controller
-	c.leader.observe(p.GetMember(), time.Now(), p.GetOnPromises())
+	c.leader.observe(leaderContact{
+		leader: p.GetMember(), at: time.Now(), votesOnly: p.GetOnPromises(), memoryShort: p.GetMemoryShort(),
+	})
 	if c.storeRelay != nil {
 		c.storeRelay.onLeaderReachable()
 	}
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -59,3 +59,21 @@
 		})
 	}
 }
+
+// Guards against a field of a newer version that makes members misread the progress of a leader of an older one.
+func TestProgressOfOlderVersionIsUnderstood(t *testing.T) {
+	const older = "1f08ac02221a0802120c0a06746578742036100718081a067465787420392001"
+	encoded, err := hex.DecodeString(older)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := &peerpb.Envelope{}
+	if err := protodelim.UnmarshalFrom(bytes.NewReader(encoded), got); err != nil {
+		t.Fatal(err)
+	}
+	want := fillMessage(&peerpb.Progress{})
+	want.MemoryShort = false
+	if !proto.Equal(got.GetProgress(), want) {
+		t.Errorf("got %v, want %v", got.GetProgress(), want)
+	}
+}
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -32,7 +32,7 @@
 	Answered                Outcome = iota // the response is final
 	StateServiceUnavailable                // the state service has not answered the member in time
 	Overloaded                             // the member has reached a concurrency, rate or connection limit
-	OutOfMemory                            // the member has no memory for more jobs
+	OutOfMemory                            // the member or the leader has no memory for more jobs
 	NotReady                               // the member cannot answer yet, or has failed to
 	TimedOut                               // the member has not answered in time
 	Unreachable                            // the member could not be reached
