Scaling out: list the offers for a job once, not for every machine

Cause: while a zone has fewer machines than the others, ScaleOut counts one machine after the other there until it has as many, and listed all offers for each. That work is bounded by the machines that exist, but not small. Change: the offers of a shortage are listed once; only the counts by zone and the full requests change.

--- a/internal/autoscaler/offer.go
+++ b/internal/autoscaler/offer.go
@@ -15,17 +15,20 @@
 	suspectZone     bool    // the zone is suspected to be partitioned
 	pricePerTask    float64 // price per hour of a full machine, divided by tasksPerMachine
 	machinesInZone  int
-	tasksPerMachine int // tasks of the request that fit on an empty machine; not compared
+	requestFull     bool // no more machines of the offer can be requested in this call of ScaleOut
+	tasksPerMachine int  // tasks of the request that fit on an empty machine; not compared
 }
 
 // compare returns a negative number if o is preferable to other. Zones without a suspected partition come first, then
-// the lower price per task, the zone with fewer machines, and the zone name as the tie-breaker.
+// the lower price per task, the zone with fewer machines, and the zone name. Among offers in the same zone, one that
+// can still be requested is preferable.
 func (o offerOption) compare(other offerOption) int {
 	return cmp.Or(
 		compareFalseFirst(o.suspectZone, other.suspectZone),
 		cmp.Compare(o.pricePerTask, other.pricePerTask),
 		cmp.Compare(o.machinesInZone, other.machinesInZone),
 		cmp.Compare(o.Zone, other.Zone),
+		compareFalseFirst(o.requestFull, other.requestFull),
 	)
 }
 
--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -1,7 +1,6 @@
 package autoscaler
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -32,7 +31,8 @@
 		}
 		p := newPacking(now, snapshot, shortage)
 		p.fillIncoming(exhausted)
-		for p.missing > 0 && p.requestMachine(now, requests) {
+		if p.missing > 0 {
+			p.requestMachines(now, requests)
 		}
 	}
 	return requests.list
@@ -119,43 +119,57 @@
 	if p.pinnedZone != "" && p.pinnedZone != incoming.Zone {
 		return 0
 	}
-	return min(p.snapshot.capacityOf(p.pending, incoming), p.pending.ZoneRemaining(p.tasksByZone, incoming.Zone))
+	return min(p.snapshot.capacityOf(p.pending, incoming), p.zoneRemaining(incoming.Zone))
 }
 
-// requestMachine assigns tasks to one more machine of the best offer and requests it. If the request for that offer is
-// full, it does not request the machine and only counts it, so that the next machines are requested in other zones
-// as if it came. If the requests for all equally good offers are full, it leaves tasks to a later call. It returns
-// false if there is no feasible offer or the machine takes no task.
-func (p *packing) requestMachine(now time.Time, requests *requestSet) bool {
-	options := p.snapshot.feasibleOffers(now, p.pending, p.tasksByZone, p.pinnedZone)
-	if len(options) == 0 {
-		return false
-	}
-	best := slices.MinFunc(options, func(a, b offerOption) int {
-		return cmp.Or(a.compare(b), compareFalseFirst(requests.full(a.Offer), requests.full(b.Offer)))
-	})
-	options = slices.DeleteFunc(options, func(o offerOption) bool { return !o.equallyGood(best) })
-	if !slices.ContainsFunc(options, func(o offerOption) bool { return !requests.full(o.Offer) }) {
-		p.leaveToLaterCall(options)
-		return true
+// zoneRemaining returns how many more tasks of the job a zone may hold.
+func (p *packing) zoneRemaining(zone string) int { return p.pending.ZoneRemaining(p.tasksByZone, zone) }
+
+// requestMachines requests machines of the best offers until no task is missing or no offer is left. Once the requests
+// for all equally good offers are full, it leaves tasks to a later call.
+func (p *packing) requestMachines(now time.Time, requests *requestSet) {
+	offers := p.snapshot.feasibleOffers(now, p.pending, p.tasksByZone, p.pinnedZone)
+	for p.missing > 0 {
+		offers = slices.DeleteFunc(offers, func(o offerOption) bool { return p.zoneRemaining(o.Zone) == 0 })
+		if len(offers) == 0 {
+			return
+		}
+		for i := range offers {
+			offers[i].machinesInZone = p.snapshot.MachinesByZone[offers[i].Zone]
+			offers[i].requestFull = requests.full(offers[i].Offer)
+		}
+		best := slices.MinFunc(offers, offerOption.compare)
+		requestable := func(o offerOption) bool { return o.equallyGood(best) && !o.requestFull }
+		if !slices.ContainsFunc(offers, requestable) {
+			p.leaveToLaterCall(offers, best)
+		} else if !p.requestMachine(best, requests) {
+			return
+		}
 	}
-	tasks := min(p.missing, best.tasksPerMachine, p.pending.MaxPerMachine(),
-		p.pending.ZoneRemaining(p.tasksByZone, best.Zone))
-	p.assign(best.Zone, tasks)
-	p.snapshot.MachinesByZone[best.Zone]++
-	if !requests.full(best.Offer) {
-		requests.add(best.Offer, p.pending.Job.Spec.Class)
-		machine := p.snapshot.addIncoming(findType(p.snapshot.Types, best.Type), best.Offer)
+}
+
+// requestMachine assigns tasks to one more machine of an offer and requests it. If the request for the offer is full, it
+// does not request the machine and only counts it, so that the next machines are requested in other zones as if it
+// came. It returns false if the machine takes no task.
+func (p *packing) requestMachine(offer offerOption, requests *requestSet) bool {
+	tasks := min(p.missing, offer.tasksPerMachine, p.pending.MaxPerMachine(), p.zoneRemaining(offer.Zone))
+	p.assign(offer.Zone, tasks)
+	p.snapshot.MachinesByZone[offer.Zone]++
+	if !offer.requestFull {
+		requests.add(offer.Offer, p.pending.Job.Spec.Class)
+		machine := p.snapshot.addIncoming(findType(p.snapshot.Types, offer.Type), offer.Offer)
 		machine.addTasks(p.pending, tasks)
 	}
 	return tasks > 0
 }
 
-// leaveToLaterCall assigns all tasks that the zones of the options may hold to machines that a later call may request.
-// Tasks that are left use offers in other zones.
-func (p *packing) leaveToLaterCall(options []offerOption) {
-	for _, option := range options {
-		p.assign(option.Zone, min(p.missing, p.pending.ZoneRemaining(p.tasksByZone, option.Zone)))
+// leaveToLaterCall assigns as many tasks as the zones may hold to machines of the offers that are as good as the best
+// one. A later call may request these machines.
+func (p *packing) leaveToLaterCall(offers []offerOption, best offerOption) {
+	for _, offer := range offers {
+		if offer.equallyGood(best) {
+			p.assign(offer.Zone, min(p.missing, p.zoneRemaining(offer.Zone)))
+		}
 	}
 }
 
