--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// requestMachine assigns tasks to one more machine of an offer and requests it. If the request for the offer is full, it
-// does not request the machine and only counts it, so that the next machines are requested in other zones as if it
+// requestMachine assigns tasks to one more machine of an offer and requests it. If the request for the offer is full,
+// it does not request the machine and only counts it, so that the next machines are requested in other zones as if it
 // came. It returns false if the machine takes no task.
 func (p *packing) requestMachine(offer offerOption, requests *requestSet) bool {
 	tasks := min(p.missing, offer.tasksPerMachine, p.pending.MaxPerMachine(), p.zoneRemaining(offer.Zone))
