--- a/internal/autoscaler/offer.go
+++ b/internal/autoscaler/offer.go
@@ -43,7 +43,7 @@
 	return -1
 }
 
-// equallyGood reports whether two offers differ at most in their type and zone and in the number of machines there.
+// equallyGood reports whether two offers cost the same per task and are both in a suspect zone or both in another one.
 func (o offerOption) equallyGood(other offerOption) bool {
 	return o.suspectZone == other.suspectZone && o.pricePerTask == other.pricePerTask
 }
