--- a/internal/reconciler/memory_test.go
+++ b/internal/reconciler/memory_test.go
@@ -72,31 +72,42 @@
 	return after.TotalAlloc - before.TotalAlloc
 }
 
+const (
+	tasksPerArray   = 100_000 // the most that a submission may have
+	controllerBytes = 98 << 20
+	refusingPercent = 45 // of the memory; docs/operators.md: from here on new jobs are refused
+
+	// reserveBytes is the memory that is left when new jobs are no longer accepted.
+	reserveBytes = controllerBytes * (100 - refusingPercent) / 100
+)
+
+// hugeArrays returns twelve arrays of which each task takes a whole machine.
+func hugeArrays(now time.Time) []record.Job {
+	jobs := make([]record.Job, 12)
+	for i := range jobs {
+		spec := oneTask(fmt.Sprintf("wk-%06d", i), model.Array)
+		spec.Tasks, spec.Demand.CPU = tasksPerArray, 8
+		jobs[i] = record.Job{Version: uint64(i + 1), SubmittedAt: now, Spec: spec}
+	}
+	return jobs
+}
+
 // Guards against leaders that are killed for memory one after the other because a pass over a few arrays of the
 // largest size that users may submit takes memory for each of their tasks. A pass must fit into the memory that is
 // left when new jobs are no longer accepted, even if none of its garbage is collected.
 func TestPassOverHugeArraysFitsIntoMemory(t *testing.T) {
-	const (
-		arrays          = 12
-		tasksPerArray   = 100_000
-		controllerBytes = 98 << 20
-		refusingPercent = 45 // of the memory; docs/operators.md: from here on new jobs are refused
-		limit           = controllerBytes * (100 - refusingPercent) / 100
-	)
 	s := newWorkerScenario(t, &record.Snapshot{})
 	s.core.settings.Autoscaler.MaxPerRequest = 50
 	s.core.machineTypes[0].Zones = []string{"a", "b"}
 	s.core.teams["red"].Quota = model.Quota{}
 	s.register("n-1")
-	for i := range arrays {
-		spec := oneTask(fmt.Sprintf("wk-%06d", i), model.Array)
-		spec.Tasks, spec.Demand.CPU = tasksPerArray, 8
-		s.step(0, JobAdded{Version: uint64(i + 1), SubmittedAt: s.now, Spec: spec})
+	for _, job := range hugeArrays(s.now) {
+		s.step(0, JobAdded(job))
 	}
 	provisioned := false
 	for range 5 {
-		if allocated := allocatedBytes(func() { s.step(time.Second, Tick{}) }); allocated > limit {
-			t.Errorf("one step allocated %d MB, want at most %d MB", allocated>>20, limit>>20)
+		if allocated := allocatedBytes(func() { s.step(time.Second, Tick{}) }); allocated > reserveBytes {
+			t.Errorf("one step allocated %d MB, want at most %d MB", allocated>>20, reserveBytes>>20)
 		}
 		for _, effect := range s.effects {
 			_, ok := effect.(Provision)
@@ -112,25 +123,15 @@
 // that arrive before new ones are refused may take. The state service bounds how many arrive.
 func TestMemoryOfWaitingTasksIsBounded(t *testing.T) {
 	const (
-		arrays             = 12
-		tasksPerArray      = 100_000
-		controllerBytes    = 98 << 20
-		refusingPercent    = 45 // of the memory; docs/operators.md: from here on new jobs are refused
-		acceptedPerSecond  = 80 // each job that is accepted is a write to the state service
-		refusalDelaySecond = 3  // until all members refuse new jobs
-		maxArrayBytes      = controllerBytes * (100 - refusingPercent) / 100 / (acceptedPerSecond * refusalDelaySecond)
+		acceptedPerSecond   = 80 // each job that is accepted is a write to the state service
+		refusalDelaySeconds = 3  // until all members refuse new jobs
+		maxArrayBytes       = reserveBytes / (acceptedPerSecond * refusalDelaySeconds)
 	)
 	now := time.Unix(1000, 0)
-	snapshot := &record.Snapshot{NumberedChunkTasks: 64}
-	for i := range arrays {
-		spec := oneTask(fmt.Sprintf("wk-%06d", i), model.Array)
-		spec.Tasks = tasksPerArray
-		snapshot.Jobs = append(snapshot.Jobs, record.Job{Version: uint64(i + 1), SubmittedAt: now, Spec: spec})
-	}
+	snapshot := &record.Snapshot{NumberedChunkTasks: 64, Jobs: hugeArrays(now)}
 	before := liveHeapBytes()
 	c := newTestLeader(now, snapshot)
-	arrayBytes := (liveHeapBytes() - before) / arrays
-	t.Logf("%d bytes for an array of %d waiting tasks", arrayBytes, tasksPerArray)
+	arrayBytes := (liveHeapBytes() - before) / uint64(len(snapshot.Jobs))
 	if arrayBytes > maxArrayBytes {
 		t.Errorf("an array of %d waiting tasks takes %d bytes, want at most %d", tasksPerArray, arrayBytes, maxArrayBytes)
 	}
