--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -303,9 +303,10 @@
 					PricePerHour: cpus * (1 + random.Float64()), SpotPricePerHour: cpus * random.Float64(), Zones: offered,
 				})
 			}
+			snapshot.SuspectZones = map[string]bool{}
 			for _, zone := range offered {
 				snapshot.MachinesByZone[zone] = random.IntN(200)
-				snapshot.SuspectZones = map[string]bool{zone: random.IntN(4) == 0}
+				snapshot.SuspectZones[zone] = random.IntN(4) == 0
 			}
 			return snapshot
 		}
